--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.consensus
+
+internal object Placeholder
--- /dev/null
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.daemon
+
+internal object Placeholder
--- /dev/null
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.experiment
+
+internal object Placeholder
--- /dev/null
+++ b/model/src/main/kotlin/org/zinniahoist/model/Sample.kt
@@ -0,0 +1,47 @@
+package org.zinniahoist.model
+
+import kotlinx.serialization.Serializable
+
+/** Identifies one sample of a trainer's step. */
+@Serializable
+public data class SampleIdentifier(
+    public val trainer: TrainerName,
+    public val step: StepNumber,
+    public val group: Int,
+    public val index: Int,
+) {
+    override fun toString(): String = "${trainer.value}/${step.value}/$group/$index"
+
+    public companion object {
+        private const val PARTS = 4
+
+        /** Parses the form that [toString] returns, or returns null if [text] has another form. */
+        public fun parse(text: String): SampleIdentifier? {
+            val parts = text.split('/')
+            if (parts.size != PARTS) return null
+            val step = parts[1].toLongOrNull() ?: return null
+            val group = parts[2].toIntOrNull() ?: return null
+            val index = parts[3].toIntOrNull() ?: return null
+            return SampleIdentifier(TrainerName(parts[0]), StepNumber(step), group, index)
+        }
+    }
+}
+
+/** One prompt and the number of samples that the trainer wants for it. */
+@Serializable
+public data class Group(
+    public val prompt: String,
+    public val samples: Int,
+    public val maximumTokens: Int = 1_024,
+)
+
+/** All groups that a trainer needs before it can train on them. */
+@Serializable
+public data class Step(
+    public val trainer: TrainerName,
+    public val number: StepNumber,
+    public val groups: List<Group>,
+) {
+    /** Number of samples in all groups. */
+    public val sampleCount: Int get() = groups.sumOf { it.samples }
+}
--- /dev/null
+++ b/model/src/main/kotlin/org/zinniahoist/model/WeightVersion.kt
@@ -0,0 +1,12 @@
+package org.zinniahoist.model
+
+import kotlinx.serialization.Serializable
+
+/** Number of a set of model weights. Later weights have larger numbers. */
+@JvmInline
+@Serializable
+public value class WeightVersion(public val number: Long) : Comparable<WeightVersion> {
+    override fun compareTo(other: WeightVersion): Int = number.compareTo(other.number)
+
+    override fun toString(): String = number.toString()
+}
--- /dev/null
+++ b/operator/src/main/kotlin/org/zinniahoist/operator/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.operator
+
+internal object Placeholder
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.policy
+
+internal object Placeholder
--- /dev/null
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.settings
+
+internal object Placeholder
--- /dev/null
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.standin
+
+internal object Placeholder
--- /dev/null
+++ b/state/src/main/kotlin/org/zinniahoist/state/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.state
+
+internal object Placeholder
--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/Placeholder.kt
@@ -0,0 +1,3 @@
+package org.zinniahoist.wire
+
+internal object Placeholder
