--- a/state/src/main/kotlin/org/zinniahoist/state/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.state
-
-internal object Placeholder
--- /dev/null
+++ b/state/src/main/kotlin/org/zinniahoist/state/idempotency/StoredOutcome.kt
@@ -0,0 +1,19 @@
+package org.zinniahoist.state.idempotency
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+
+/** The answer of an upstream, kept so that a repeated request gets it again. */
+@Serializable
+public class StoredOutcome(
+    public val status: Int,
+    public val contentType: String,
+    @ByteString public val body: ByteArray,
+) {
+    override fun equals(other: Any?): Boolean = other is StoredOutcome &&
+        status == other.status &&
+        contentType == other.contentType &&
+        body.contentEquals(other.body)
+
+    override fun hashCode(): Int = 31 * status + body.contentHashCode()
+}
