--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.consensus
-
-internal object Placeholder
