--- a/settings/src/main/kotlin/org/zinniahoist/settings/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.settings
-
-internal object Placeholder
