Add the interfaces of the decisions with plain baselines

Cause: the module policy was empty, and other modules need the signatures to build on. Change: one package per decision with its interface, its values and a baseline that the chosen implementation is measured against. Conclusion: the chosen implementations can follow one by one.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.policy
-
-internal object Placeholder
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
@@ -0,0 +1,28 @@
+package org.zinniahoist.policy.admission
+
+import org.zinniahoist.model.Moment
+import kotlin.time.Duration
+
+/** Limits the attempts that a sidecar gives to its upstream at once. */
+public interface ConcurrencyLimiter {
+    /** Attempts of all kinds that may run at once. */
+    public val limit: Int
+
+    /** Attempts up to which trainers may fill the upstream. */
+    public val trainingLimit: Int
+
+    /** Records [tokens] that the upstream produced for all its attempts while it ran [running] of them. */
+    public fun onTokens(tokens: Int, running: Int, now: Moment)
+
+    /** Records the time from giving a live attempt to the upstream to its first token. */
+    public fun onLiveFirstToken(elapsed: Duration, now: Moment)
+}
+
+/** Baseline: the same limit at all times. */
+public class FixedConcurrencyLimiter(override val limit: Int = 32) : ConcurrencyLimiter {
+    override val trainingLimit: Int get() = limit
+
+    override fun onTokens(tokens: Int, running: Int, now: Moment): Unit = Unit
+
+    override fun onLiveFirstToken(elapsed: Duration, now: Moment): Unit = Unit
+}
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/liveness/UnprobedUpstream.kt
@@ -0,0 +1,14 @@
+package org.zinniahoist.policy.liveness
+
+import org.zinniahoist.model.Moment
+
+/** Baseline: an upstream is healthy until its connections break. */
+public class UnprobedUpstream : UpstreamHealth {
+    override fun onActivity(connection: Long, now: Moment): Unit = Unit
+
+    override fun onIdle(connection: Long): Unit = Unit
+
+    override fun onProbeResult(result: ProbeResult?, now: Moment): Unit = Unit
+
+    override fun check(now: Moment): UpstreamAction = UpstreamAction.None
+}
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/LoadDigest.kt
@@ -0,0 +1,19 @@
+package org.zinniahoist.policy.routing
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Load of one upstream as its sidecar measures it. Heartbeats and ends of attempts carry it.
+ *
+ * @property running attempts that the upstream has been given.
+ * @property waiting attempts that the sidecar holds back.
+ * @property concurrencyLimit attempts that the sidecar gives to the upstream at once.
+ * @property serviceMilliseconds mean time that an attempt spends on the upstream.
+ */
+@Serializable
+public data class LoadDigest(
+    public val running: Int,
+    public val waiting: Int,
+    public val concurrencyLimit: Int,
+    public val serviceMilliseconds: Double,
+)
