Add the messages between processes and the ledger's state machine

Cause: entry, sidecar and control are built in parallel and need one set of messages. Change: sealed message types for links, attempts, control calls and peers; commands, queries and answers of the ledger. Conclusion: the formats between processes are fixed for the first version.

--- /dev/null
+++ b/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationQuery.kt
@@ -0,0 +1,27 @@
+package org.zinniahoist.state.coordination
+
+import kotlinx.serialization.Serializable
+import org.zinniahoist.model.InstanceName
+
+/** A read of the state of the `settings` group. */
+@Serializable
+public sealed interface CoordinationQuery {
+    /** Reads the settings tree. Answered by [CoordinationAnswer.Tree]. */
+    @Serializable
+    public data object ReadTree : CoordinationQuery
+
+    /** Reads the orders to [upstream]. Answered by [CoordinationAnswer.Orders]. */
+    @Serializable
+    public data class ReadOrders(public val upstream: InstanceName) : CoordinationQuery
+
+    /** Reads versions and drains. Answered by [CoordinationAnswer.Overview]. */
+    @Serializable
+    public data object ReadOverview : CoordinationQuery
+
+    /** Reads the accepted edits after [afterRevision]. Answered by [CoordinationAnswer.History]. */
+    @Serializable
+    public data class ReadHistory(
+        public val afterRevision: Long = 0,
+        public val limit: Int = 100,
+    ) : CoordinationQuery
+}
--- /dev/null
+++ b/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerAnswer.kt
@@ -0,0 +1,66 @@
+package org.zinniahoist.state.ledger
+
+import kotlinx.serialization.Serializable
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.TrainerName
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.idempotency.ClaimResult
+import org.zinniahoist.state.samples.Deliverable
+import org.zinniahoist.state.samples.LeaseResult
+import org.zinniahoist.state.samples.RecordResult
+import org.zinniahoist.state.samples.SubmitResult
+
+/** Answer to a [LedgerCommand] or a [LedgerQuery]. */
+@Serializable
+public sealed interface LedgerAnswer {
+    /** Answer to [LedgerCommand.Claim]. */
+    @Serializable
+    public data class Claimed(public val result: ClaimResult) : LedgerAnswer
+
+    /** Answer to a command that either had its effect or found nothing to change. */
+    @Serializable
+    public data class Done(public val changed: Boolean) : LedgerAnswer
+
+    /** Answer to [LedgerCommand.SubmitStep]. */
+    @Serializable
+    public data class Submitted(public val result: SubmitResult) : LedgerAnswer
+
+    /** Answer to [LedgerCommand.AcquireLease]. */
+    @Serializable
+    public data class Leased(public val result: LeaseResult) : LedgerAnswer
+
+    /** Answer to [LedgerCommand.RecordSample]. */
+    @Serializable
+    public data class Recorded(public val result: RecordResult) : LedgerAnswer
+
+    /** Answer to [LedgerCommand.AcknowledgeSamples]. */
+    @Serializable
+    public data class Acknowledged(public val samples: Int) : LedgerAnswer
+
+    /** Answer to [LedgerCommand.AnnounceVersion]: the latest version of the trainer. */
+    @Serializable
+    public data class Announced(public val version: WeightVersion) : LedgerAnswer
+
+    /** Answer to [LedgerQuery.ReadDeliverable]; null if the lease is held under another token. */
+    @Serializable
+    public data class Deliverables(public val deliverable: Deliverable?) : LedgerAnswer
+
+    /** Answer to [LedgerQuery.ReadOpenTrainers]. */
+    @Serializable
+    public data class OpenTrainers(public val trainers: List<TrainerName>) : LedgerAnswer
+
+    /** Answer to [LedgerQuery.ReadHolder]. */
+    @Serializable
+    public data class Holder(public val holder: InstanceName?) : LedgerAnswer
+
+    /** Answer to [LedgerQuery.ReadSizes]. */
+    @Serializable
+    public data class Sizes(
+        public val idempotencyKeys: Int,
+        public val openTrainers: Int,
+    ) : LedgerAnswer
+
+    /** The command or query could not be decoded. */
+    @Serializable
+    public data class Malformed(public val cause: String) : LedgerAnswer
+}
--- a/wire/src/main/kotlin/org/zinniahoist/wire/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.wire
-
-internal object Placeholder
