Add the settings tree with offices, edits and deltas

Cause: the policy, the replicated state and the operators' tool need one tree of branches in which a value names where it comes from and one office can't change what belongs to the other.

--- /dev/null
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/TreeDelta.kt
@@ -0,0 +1,100 @@
+package org.zinniahoist.settings
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.dynatrace.hash4j.hashing.Hashing
+import kotlinx.serialization.Serializable
+import org.zinniahoist.model.BranchName
+import org.zinniahoist.model.Revision
+
+/** Hash of a tree in hexadecimal digits; it guards against faults, not against attackers. */
+@JvmInline
+@Serializable
+public value class TreeDigest(public val value: String) {
+    override fun toString(): String = value
+}
+
+/** The branches in which two trees differ. */
+@Serializable
+public data class TreeDelta(
+    public val from: Revision,
+    public val fromDigest: TreeDigest,
+    public val to: Revision,
+    public val toDigest: TreeDigest,
+    public val changed: List<Branch>,
+    public val removed: List<BranchName>,
+)
+
+/** Why a delta can't be applied to a tree. */
+@Serializable
+public sealed interface DeltaError {
+    public val message: String
+
+    /** The delta does not lead to a later revision. */
+    @Serializable
+    public data class NotLater(
+        public val current: Revision,
+        public val proposed: Revision,
+    ) : DeltaError {
+        override val message: String get() = "delta leads to revision $proposed, which is not above revision $current"
+    }
+
+    /** The delta starts from another tree. */
+    @Serializable
+    public data class OtherBase(
+        public val expected: Revision,
+        public val found: Revision,
+    ) : DeltaError {
+        override val message: String get() = "delta starts from another tree: revision $expected, found $found"
+    }
+
+    /** The resulting tree is not the one that the delta was made for. */
+    @Serializable
+    public data class OtherResult(
+        public val expected: TreeDigest,
+        public val found: TreeDigest,
+    ) : DeltaError {
+        override val message: String get() = "delta leads to a tree with digest $found, expected $expected"
+    }
+}
+
+/** Returns the digest of [tree]: revisions, offices and values of all branches. */
+public fun digest(tree: SettingsTree): TreeDigest {
+    val stream = Hashing.murmur3_128().hashStream()
+    stream.putLong(tree.revision.value).putInt(tree.branches.size)
+    tree.branches.values.sortedBy { it.name.value }.forEach { branch ->
+        stream.putString(branch.name.value).putString(branch.office?.value.orEmpty()).putLong(branch.revision.value)
+        stream.putString(branch.edit.value).putString(branch.operator.value).putInt(branch.values.size)
+        branch.values.toSortedMap().forEach { (key, set) ->
+            stream.putString(key).putString(set.text).putLong(set.revision.value)
+        }
+    }
+    return TreeDigest(stream.get().toByteArray().joinToString("") { "%02x".format(it) })
+}
+
+/** Returns the difference that turns [old] into [new]. */
+public fun delta(old: SettingsTree, new: SettingsTree): TreeDelta = TreeDelta(
+    from = old.revision,
+    fromDigest = digest(old),
+    to = new.revision,
+    toDigest = digest(new),
+    changed = new.branches.values.filter { old.branches[it.name] != it }.sortedBy { it.name.value },
+    removed = old.branches.keys.filter { it !in new.branches }.sortedBy { it.value },
+)
+
+/** Returns [tree] with [delta] applied; a delta that does not lead to a later revision is refused. */
+public fun applyDelta(tree: SettingsTree, delta: TreeDelta): Either<DeltaError, SettingsTree> {
+    if (delta.to <= tree.revision) return DeltaError.NotLater(tree.revision, delta.to).left()
+    if (delta.from != tree.revision || delta.fromDigest != digest(tree)) {
+        return DeltaError.OtherBase(delta.from, tree.revision).left()
+    }
+    val branches =
+        tree.branches.builder().apply {
+            delta.removed.forEach { remove(it) }
+            delta.changed.forEach { put(it.name, it) }
+        }
+    val result = SettingsTree(delta.to, branches.build())
+    val found = digest(result)
+    return if (found == delta.toDigest) result.right() else DeltaError.OtherResult(delta.toDigest, found).left()
+}
--- /dev/null
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/TreeRules.kt
@@ -0,0 +1,93 @@
+package org.zinniahoist.settings
+
+import org.zinniahoist.model.BranchName
+
+/** Returns the contradictions between the [values] in force in [branch]. */
+internal fun ruleErrors(branch: BranchName, values: Map<String, EffectiveValue>): List<EditError> =
+    TreeRules(branch, values).check()
+
+private class TreeRules(
+    private val branch: BranchName,
+    private val values: Map<String, EffectiveValue>,
+) {
+    private val reader = EffectiveReader(values)
+    private val errors = mutableListOf<EditError>()
+
+    fun check(): List<EditError> {
+        checkConcurrency()
+        if (reader.value(TreeSchema.defaultBudget) > reader.value(TreeSchema.maximumBudget)) {
+            reject(TreeSchema.defaultBudget.name, "at most limits.maximum-budget: ${text(TreeSchema.maximumBudget)}")
+        }
+        TreeSchema.groups.forEach { checkRequired(it) }
+        checkTrainers()
+        checkCallers()
+        checkModels()
+        checkTokens()
+        return errors
+    }
+
+    private fun checkConcurrency() {
+        val minimum = reader.value(TreeSchema.concurrencyMinimum)
+        val maximum = reader.value(TreeSchema.concurrencyMaximum)
+        if (minimum > maximum) {
+            reject(TreeSchema.concurrencyMinimum.name, "at most admission.concurrency-maximum: $maximum")
+        } else if (reader.value(TreeSchema.concurrency) !in minimum..maximum) {
+            reject(
+                TreeSchema.concurrency.name,
+                "from admission.concurrency-minimum to admission.concurrency-maximum: $minimum to $maximum",
+            )
+        }
+    }
+
+    private fun checkRequired(group: SectionSchema) {
+        group.keys.filter { it.required }.forEach { key ->
+            reader.names(group.name).map { key.name.replace("*", it) }.filter { it !in values }.forEach {
+                errors += EditError.MissingKey(branch, it, key.type.allowed)
+            }
+        }
+    }
+
+    private fun checkTrainers() {
+        val models = reader.names("model")
+        reader.names("trainer").forEach { trainer ->
+            val model = reader.find(TreeSchema.trainerModel, trainer)
+            if (model != null && model !in models) {
+                reject("trainer.$trainer.model", "a declared model: ${models.joinToString(", ").ifEmpty { "none" }}")
+            }
+        }
+    }
+
+    private fun checkCallers() {
+        val maximum = reader.value(TreeSchema.maximumBudget)
+        reader.names("caller").forEach { caller ->
+            val budget = reader.find(TreeSchema.callerBudget, caller)
+            if (budget != null && budget > maximum) {
+                reject("caller.$caller.budget", "at most limits.maximum-budget: $maximum")
+            }
+        }
+    }
+
+    private fun checkModels() {
+        reader.names("model").forEach { model ->
+            val wave = reader.value(TreeSchema.rolloutWave, model)
+            val serving = reader.value(TreeSchema.servingShare, model)
+            if (wave + serving > 1) {
+                reject("model.$model.rollout-wave", "together with model.$model.serving-share ($serving) at most 1.0")
+            }
+        }
+    }
+
+    /** Two holders of one token could not be told apart. */
+    private fun checkTokens() {
+        val owners = values.filterKeys { it.endsWith(".token-hash") }.entries.groupBy { it.value.value }
+        owners.values.filter { it.size > 1 }.forEach { same ->
+            reject(same.last().key, "another token than ${same.first().key}")
+        }
+    }
+
+    private fun reject(key: String, allowed: String) {
+        errors += EditError.Inconsistent(branch, key, values[key]?.value.orEmpty(), allowed)
+    }
+
+    private fun text(key: SettingKey<*>): String = values.getValue(key.name).value
+}
