--- a/policy/src/main/kotlin/org/zinniahoist/policy/routing/RendezvousSubsetSelector.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/RendezvousSubsetSelector.kt
@@ -1,11 +1,12 @@
 package org.zinniahoist.policy.routing
 
 import com.dynatrace.hash4j.hashing.Hashing
+import org.zinniahoist.model.FailureDomain
 
 /** Baseline: the upstreams with the highest rendezvous scores. Upstreams get uneven numbers of entries. */
 public class RendezvousSubsetSelector(private val sizes: SubsetSizes = SubsetSizes()) : SubsetSelector {
     override fun select(entry: Member, entries: List<Member>, upstreams: List<Member>): List<Member> {
-        val byPlace = upstreams.groupBy { placeOf(entry, it) }
+        val byPlace = upstreams.groupBy { placeOf(entry.failureDomain, it.failureDomain) }
         return Place.entries.flatMap { place ->
             highestScores(entry, byPlace[place].orEmpty(), place.sizeIn(sizes))
         }
@@ -21,9 +22,9 @@
     Place.ELSEWHERE -> sizes.elsewhere
 }
 
-internal fun placeOf(entry: Member, upstream: Member): Place = when {
-    entry.failureDomain == upstream.failureDomain -> Place.FAILURE_DOMAIN
-    entry.failureDomain.region == upstream.failureDomain.region -> Place.REGION
+internal fun placeOf(entry: FailureDomain, upstream: FailureDomain): Place = when {
+    entry == upstream -> Place.FAILURE_DOMAIN
+    entry.region == upstream.region -> Place.REGION
     else -> Place.ELSEWHERE
 }
 
