--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.daemon
-
-internal object Placeholder
--- a/state/src/main/kotlin/org/zinniahoist/state/idempotency/IdempotencyLedger.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/idempotency/IdempotencyLedger.kt
@@ -111,7 +111,7 @@
 
 /** State of an [IdempotencyLedger] in a snapshot. Entries are in the order of their times. */
 @Serializable
-public data class IdempotencyState(
+public class IdempotencyState internal constructor(
     internal val claims: Map<IdempotencyKey, ClaimRecord>,
     internal val releasedRuns: Map<AttemptIdentifier, Long>,
 )
--- a/state/src/main/kotlin/org/zinniahoist/state/samples/SampleState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/samples/SampleState.kt
@@ -12,7 +12,7 @@
 
 /** State of a [SampleLedger] in a snapshot. */
 @Serializable
-public data class SampleState(internal val trainers: Map<TrainerName, TrainerState>)
+public class SampleState internal constructor(internal val trainers: Map<TrainerName, TrainerState>)
 
 @Serializable
 internal data class TrainerState(
--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -0,0 +1,54 @@
+package org.zinniahoist.wire
+
+import org.zinniahoist.model.Moment
+
+/** An open link to another daemon. */
+public interface LinkConnection {
+    /** What the other side said of itself. */
+    public val peer: LinkMessage.Hello
+
+    /** Sequence number of the last heartbeat received from the other side. */
+    public val lastHeartbeatReceived: Long
+
+    /** Returns when the heartbeat with [sequence] was sent on this link, or null if that is not known any more. */
+    public fun heartbeatSentAt(sequence: Long): Moment?
+
+    /** Queues [message] for sending and suspends while the queue is full. Returns false if the link is closed. */
+    public suspend fun send(message: Message): Boolean
+
+    /** Queues [message] if there is room. Returns false if the queue is full or the link is closed. */
+    public fun offer(message: Message): Boolean
+
+    /** Closes the link after a `Goodbye` with [reason]. */
+    public fun close(reason: String)
+}
+
+/** Receives the events of links. Calls for one link come in order; calls for different links are concurrent. */
+public interface LinkHandler {
+    /** The link is open and both sides have said hello. */
+    public fun onOpen(link: LinkConnection)
+
+    /** A message other than hello and goodbye was received. Heartbeats are passed on after the link has used them. */
+    public suspend fun onMessage(link: LinkConnection, message: Message)
+
+    /** The link closed and nothing more is received from it. */
+    public fun onClosed(link: LinkConnection, cause: LinkCloseCause)
+}
+
+/** Why a link closed. */
+public sealed interface LinkCloseCause {
+    /** This side closed it. */
+    public data object Local : LinkCloseCause
+
+    /** The other side said goodbye. */
+    public data class Goodbye(public val reason: String) : LinkCloseCause
+
+    /** No frame was received for the silence limit. */
+    public data object Silent : LinkCloseCause
+
+    /** A frame was too large, damaged or of an unknown kind. */
+    public data class ProtocolError(public val detail: String) : LinkCloseCause
+
+    /** The connection broke. */
+    public data class ConnectionLost(public val detail: String) : LinkCloseCause
+}
