Carry replica traffic as opaque bytes

Cause: the wire module needs no knowledge of the consensus messages. Change: the content of replica traffic is encoded by its sender; three linter findings in the state module are fixed. Conclusion: the consensus module can change its messages without a change of the wire module.

--- a/state/src/main/kotlin/org/zinniahoist/state/StateCodec.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/StateCodec.kt
@@ -5,7 +5,11 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
-/** CBOR form of commands, queries, answers and snapshots. Unknown keys are ignored so that two versions can run side by side. */
+/**
+ * CBOR form of commands, queries, answers and snapshots.
+ *
+ * Unknown keys are ignored so that two versions can run side by side.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 public object StateCodec {
     /** The CBOR configuration that all state machines share. */
--- a/state/src/main/kotlin/org/zinniahoist/state/samples/SampleLedger.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/samples/SampleLedger.kt
@@ -49,7 +49,8 @@
         val record = trainers[trainer] ?: return LeaseResult.UnknownTrainer
         val lease = record.lease
         val renews = lease != null && lease.holder == holder && lease.token == current
-        if (lease != null && !renews && lease.holder != holder && lease.expiresAtMilliseconds > timeMilliseconds) {
+        val heldByOther = lease != null && lease.holder != holder && lease.expiresAtMilliseconds > timeMilliseconds
+        if (lease != null && heldByOther) {
             return LeaseResult.HeldByOther(lease.holder, lease.expiresAtMilliseconds - timeMilliseconds)
         }
         val token = if (renews) lease.token else next
@@ -90,7 +91,7 @@
         }
     }
 
-    /** Forgets the result of [attempt] so that [sample] is drafted again. Returns false if the result does not count. */
+    /** Forgets the result of [attempt], so that [sample] is drafted again. Returns false if another result counts. */
     public fun discard(sample: SampleIdentifier, token: FencingToken, attempt: AttemptIdentifier): Boolean {
         val trainer = trainers[sample.trainer] ?: return false
         if (trainer.lease?.token != token) return false
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ControlMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ControlMessage.kt
@@ -4,7 +4,6 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
-import org.zinniahoist.consensus.ReplicaMessage
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Revision
 
@@ -33,12 +32,12 @@
         public val leader: InstanceName? = null,
     ) : ControlMessage
 
-    /** A message between replicas of a consensus group. */
+    /** A message between replicas of a consensus group, encoded by the sender. */
     @Serializable
     @SerialName("replica")
-    public data class ReplicaTraffic(
+    public class ReplicaTraffic(
         public val group: String,
-        public val message: ReplicaMessage,
+        @ByteString public val content: ByteArray,
     ) : ControlMessage
 
     /** Asks a control replica to send changes of the settings and orders from now on. */
