--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
@@ -0,0 +1,75 @@
+package org.zinniahoist.consensus
+
+import kotlinx.serialization.Serializable
+import org.zinniahoist.model.InstanceName
+
+/**
+ * Identity of a replica, drawn at random when its folder is created.
+ *
+ * A replica whose disk was emptied has a new identity, so it can't vote a second time under the old one.
+ */
+@JvmInline
+@Serializable
+public value class ReplicaIdentifier(public val value: Long) : Comparable<ReplicaIdentifier> {
+    override fun compareTo(other: ReplicaIdentifier): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toULong().toString(HEXADECIMAL)
+
+    private companion object {
+        const val HEXADECIMAL = 16
+    }
+}
+
+/** A replica and the instance on which it runs. */
+@Serializable
+public data class ReplicaAddress(
+    public val identifier: ReplicaIdentifier,
+    public val instance: InstanceName,
+) {
+    override fun toString(): String = "$instance/$identifier"
+}
+
+/** A replica of a group. A member without a vote is a learner. */
+@Serializable
+public data class Member(
+    public val address: ReplicaAddress,
+    public val voter: Boolean,
+)
+
+/** The members of a group. Consecutive configurations of a log differ in at most one voter. */
+@Serializable
+public data class Configuration(public val members: List<Member>) {
+    /** Identifiers of the members with a vote. */
+    public val voters: List<ReplicaIdentifier>
+        get() = members.filter { it.voter }.map { it.address.identifier }
+
+    /** Returns the member with [identifier], or null. */
+    public fun member(identifier: ReplicaIdentifier): Member? = members.find { it.address.identifier == identifier }
+
+    /** Returns true if the member with [identifier] has a vote. */
+    public fun isVoter(identifier: ReplicaIdentifier): Boolean = member(identifier)?.voter == true
+
+    internal fun withLearner(address: ReplicaAddress): Configuration = Configuration(
+        members.filter { it.voter || it.address.instance != address.instance } + Member(address, voter = false),
+    )
+
+    internal fun promoted(identifier: ReplicaIdentifier): Configuration =
+        Configuration(members.map { if (it.address.identifier == identifier) it.copy(voter = true) else it })
+
+    internal fun without(identifier: ReplicaIdentifier): Configuration =
+        Configuration(members.filter { it.address.identifier != identifier })
+
+    public companion object {
+        /** The configuration of a replica that has not heard of any group. */
+        public val EMPTY: Configuration = Configuration(emptyList())
+    }
+}
+
+/** A change to the members of a group that an operator asks for. */
+public sealed interface MembershipChange {
+    /** Adds a replica as a learner. The leader gives it a vote once it has caught up. */
+    public data class Add(public val address: ReplicaAddress) : MembershipChange
+
+    /** Removes a replica. */
+    public data class Remove(public val identifier: ReplicaIdentifier) : MembershipChange
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -0,0 +1,107 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.consensus.ReplicaMessageContent.PreVoteRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.PreVoteResponse
+import org.zinniahoist.consensus.ReplicaMessageContent.VoteRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.VoteResponse
+import org.zinniahoist.model.Moment
+import kotlin.time.Duration.Companion.nanoseconds
+
+/** Campaigns of a replica and the votes it gives. */
+internal class Election(
+    private val context: ReplicaContext,
+    private val becomeLeader: () -> Unit,
+) {
+    private enum class Phase { IDLE, PRE_VOTE, VOTE }
+
+    private var phase = Phase.IDLE
+    private val granted = HashSet<ReplicaIdentifier>()
+    private var deadline: Moment = context.now
+
+    init {
+        resetDeadline()
+    }
+
+    val isDue: Boolean get() = context.now >= deadline
+
+    fun resetDeadline() {
+        val shortest = context.options.electionTimeout.inWholeNanoseconds
+        deadline = context.now + context.random.nextLong(shortest, 2 * shortest).nanoseconds
+    }
+
+    fun cancel() {
+        phase = Phase.IDLE
+    }
+
+    /** Starts a pre-vote, so that a replica that can't win doesn't disturb the group with a new term. */
+    fun start() {
+        phase = Phase.PRE_VOTE
+        granted.clear()
+        granted += context.address.identifier
+        resetDeadline()
+        val request = PreVoteRequest(context.term + 1, context.log.lastIndex, context.log.lastTerm)
+        otherVoters().forEach { context.sendAfterSync(it, request) }
+        if (hasMajority()) campaign()
+    }
+
+    fun answerPreVote(from: ReplicaAddress, request: PreVoteRequest, leaderIsAlive: Boolean) {
+        val grant =
+            !leaderIsAlive &&
+                request.nextTerm > context.term &&
+                context.log.isUpToDate(request.lastIndex, request.lastTerm)
+        context.sendAfterSync(from, PreVoteResponse(request.nextTerm, grant))
+    }
+
+    fun onPreVoteResponse(from: ReplicaIdentifier, response: PreVoteResponse) {
+        if (phase != Phase.PRE_VOTE || !response.granted || response.nextTerm != context.term + 1) return
+        granted += from
+        if (hasMajority()) campaign()
+    }
+
+    fun answerVote(from: ReplicaAddress, request: VoteRequest) {
+        val free = context.vote == null || context.vote == from.identifier
+        val grant = free && context.log.isUpToDate(request.lastIndex, request.lastTerm)
+        if (grant) {
+            context.setHardState(context.term, from.identifier)
+            resetDeadline()
+        }
+        context.sendAfterSync(from, VoteResponse(grant))
+    }
+
+    fun onVoteResponse(from: ReplicaIdentifier, response: VoteResponse) {
+        if (phase != Phase.VOTE || !response.granted) return
+        granted += from
+        winIfMajority()
+    }
+
+    private fun campaign() {
+        phase = Phase.VOTE
+        granted.clear()
+        context.setHardState(context.term + 1, context.address.identifier)
+        resetDeadline()
+        val request = VoteRequest(context.log.lastIndex, context.log.lastTerm)
+        otherVoters().forEach { context.sendAfterSync(it, request) }
+        val term = context.term
+        context.outbox.afterSync {
+            if (phase == Phase.VOTE && context.term == term) {
+                granted += context.address.identifier
+                winIfMajority()
+            }
+        }
+    }
+
+    private fun winIfMajority() {
+        if (!hasMajority()) return
+        phase = Phase.IDLE
+        becomeLeader()
+    }
+
+    private fun otherVoters(): List<ReplicaAddress> = context.log.configuration.members
+        .filter { it.voter && it.address != context.address }
+        .map { it.address }
+
+    private fun hasMajority(): Boolean {
+        val voters = context.log.configuration.voters
+        return voters.count { it in granted } * 2 > voters.size
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -0,0 +1,180 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.consensus.ReplicaMessageContent.AppendResponse
+import org.zinniahoist.consensus.ReplicaMessageContent.SnapshotResponse
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.Moment
+
+/** The work of the leader of one term: replication, commitment, reads and the check of its quorum. */
+internal class Leader(private val context: ReplicaContext) {
+    private val log = context.log
+    private val options = context.options
+    private val progress = LinkedHashMap<ReplicaIdentifier, Progress>()
+    private val replication = Replication(context)
+    private val proposals = ArrayDeque<Proposal>()
+    private val reads = ArrayDeque<PendingRead>()
+    private var round = 0L
+    private var roundRequested = false
+    private var lastHeartbeat: Moment = context.now
+    private var lastQuorumCheck: Moment = context.now
+    private val membership = Membership(context, progress)
+
+    init {
+        append(command = null, configuration = null, wallMilliseconds = 0)
+        updatePeers()
+        progress.values.forEach { replication.heartbeat(it, round) }
+    }
+
+    /** True if an entry of this term is committed, so that this leader knows what was committed before. */
+    private val isEstablished: Boolean get() = log.term(context.commitIndex) == context.term
+
+    /** True once this replica is no longer a member and the group knows it. */
+    val isRemoved: Boolean get() = !context.isVoter && log.configurationIndex <= context.commitIndex
+
+    fun propose(event: ReplicaEvent.Propose) {
+        val reason =
+            when {
+                event.command.size > options.maximumCommandBytes -> "the command exceeds the size limit"
+                log.lastIndex - context.commitIndex >= options.maximumUncommittedEntries -> "too many proposals wait"
+                else -> null
+            }
+        if (reason != null) {
+            context.outbox.emit(ReplicaAction.Refuse(event.request, GroupFailure.Unavailable(reason)))
+            return
+        }
+        append(event.command, configuration = null, event.wallMilliseconds)
+        proposals += Proposal(log.lastIndex, event.request)
+    }
+
+    fun changeMembership(event: ReplicaEvent.ChangeMembership) {
+        val changed = if (isEstablished) membership.changed(event.change) else null
+        if (changed == null) {
+            val failure = GroupFailure.Unavailable("the change is invalid or another one is in progress")
+            context.outbox.emit(ReplicaAction.Refuse(event.request, failure))
+            return
+        }
+        appendConfiguration(changed)
+        proposals += Proposal(log.lastIndex, event.request)
+    }
+
+    fun read(request: Long) {
+        reads += PendingRead(request)
+        roundRequested = true
+    }
+
+    fun onJoin(from: ReplicaAddress) {
+        if (isEstablished) membership.onJoin(from)?.let(::appendConfiguration)
+    }
+
+    /** Returns false if this replica has lost contact to the majority and must step down. */
+    fun onTick(): Boolean {
+        if (context.now - lastHeartbeat >= options.heartbeatInterval) {
+            lastHeartbeat = context.now
+            progress.values.forEach { replication.heartbeat(it, round) }
+        }
+        progress.values.forEach { it.measureCatchUp(context.now, log.lastIndex, options) }
+        if (isEstablished) membership.onTick()?.let(::appendConfiguration)
+        if (context.now - lastQuorumCheck < options.electionTimeout) return true
+        val since = lastQuorumCheck
+        lastQuorumCheck = context.now
+        val present = progress.values.filter { it.lastContact >= since }.map { it.address.identifier }.toSet()
+        return quorumValue({ if (it in present) 1 else 0 }) { 1 } == 1L
+    }
+
+    fun onAppendResponse(from: ReplicaIdentifier, response: AppendResponse) {
+        val peer = progress[from] ?: return
+        contact(peer, response.round)
+        replication.onAppendResponse(peer, response)
+    }
+
+    fun onSnapshotResponse(from: ReplicaIdentifier, response: SnapshotResponse) {
+        val peer = progress[from] ?: return
+        contact(peer, response.round)
+        replication.onSnapshotResponse(peer, response, round)
+    }
+
+    private fun contact(peer: Progress, confirmedRound: Long) {
+        peer.lastContact = context.now
+        peer.confirmedRound = maxOf(peer.confirmedRound, confirmedRound)
+    }
+
+    /** Advances the commit index and sends what the events of this step call for. */
+    fun flush() {
+        val majority = quorumValue({ progress[it]?.matchIndex ?: 0 }) { log.persistedIndex }
+        if (majority > context.commitIndex && log.term(majority) == context.term) context.commitIndex = majority
+        if (isEstablished) startReads()
+        if (roundRequested && isEstablished) {
+            round++
+            roundRequested = false
+            progress.values.forEach { replication.heartbeat(it, round) }
+        }
+        progress.values.forEach { replication.sendEntries(it, round) }
+    }
+
+    /** The commit index at the arrival of a read is the index that its answer must include. */
+    private fun startReads() {
+        for (read in reads.asReversed()) {
+            if (read.round != 0L) break
+            read.round = round + 1
+            read.index = context.commitIndex
+        }
+    }
+
+    /** Answers the reads for which a majority has confirmed this leader after their arrival. */
+    fun answerReads() {
+        val confirmed = quorumValue({ progress[it]?.confirmedRound ?: 0 }) { round }
+        while (reads.isNotEmpty()) {
+            val read = reads.first()
+            if (read.round == 0L || read.round > confirmed || read.index > context.appliedIndex) return
+            context.outbox.emit(ReplicaAction.AnswerRead(reads.removeFirst().request))
+        }
+    }
+
+    /** Returns the request that proposed the entry at [index], or null. */
+    fun takeProposal(index: Long): Long? =
+        if (proposals.firstOrNull()?.index == index) proposals.removeFirst().request else null
+
+    /** Fails all requests in progress, because this replica no longer leads. */
+    fun abandon(hint: InstanceName?) {
+        val unknown = GroupFailure.OutcomeUnknown("leadership was lost before the command was committed")
+        proposals.forEach { context.outbox.emit(ReplicaAction.Refuse(it.request, unknown)) }
+        reads.forEach { context.outbox.emit(ReplicaAction.Refuse(it.request, GroupFailure.NotLeader(hint))) }
+        proposals.clear()
+        reads.clear()
+    }
+
+    private fun append(command: ByteArray?, configuration: Configuration?, wallMilliseconds: Long) {
+        val time = maxOf(wallMilliseconds, log.lastTime)
+        log.append(LogEntry(log.lastIndex + 1, context.term, time, command, configuration))
+    }
+
+    private fun appendConfiguration(configuration: Configuration) {
+        append(command = null, configuration, wallMilliseconds = 0)
+        updatePeers()
+    }
+
+    private fun updatePeers() {
+        val peers = log.configuration.members.map { it.address }.filter { it != context.address }
+        progress.keys.retainAll(peers.map { it.identifier }.toSet())
+        for (peer in peers) {
+            progress.getOrPut(peer.identifier) { Progress(peer, log.lastIndex, context.now) }
+        }
+    }
+
+    /** Returns the largest value that a majority of the voters has reached. */
+    private fun quorumValue(ofPeer: (ReplicaIdentifier) -> Long, ofSelf: () -> Long): Long {
+        val voters = log.configuration.voters
+        val values = voters.map { if (it == context.address.identifier) ofSelf() else ofPeer(it) }.sortedDescending()
+        return values[voters.size / 2]
+    }
+
+    private class Proposal(
+        val index: Long,
+        val request: Long,
+    )
+
+    private class PendingRead(val request: Long) {
+        var round = 0L
+        var index = 0L
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/LogEntry.kt
@@ -0,0 +1,57 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.zinniahoist.consensus
+
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborArray
+
+/**
+ * One entry of the replicated log: a command, a configuration, or neither (the first entry of a leader's term).
+ *
+ * @property timeMilliseconds wall time of the leader that created the entry, in milliseconds since the epoch; never
+ * decreases along the log.
+ */
+@Serializable
+@CborArray
+public class LogEntry(
+    public val index: Long,
+    public val term: Long,
+    public val timeMilliseconds: Long,
+    @ByteString public val command: ByteArray? = null,
+    public val configuration: Configuration? = null,
+) {
+    override fun toString(): String = "$index@$term"
+}
+
+/** The term of a replica and its vote in that term. Both must be durable before the replica acts on them. */
+@Serializable
+public data class HardState(
+    public val term: Long,
+    public val vote: ReplicaIdentifier?,
+)
+
+/**
+ * The state after the entry at [index], which replaces all entries up to there.
+ *
+ * @property term term of the entry at [index].
+ * @property timeMilliseconds time stamp of the entry at [index].
+ * @property configuration the configuration in force at [index].
+ */
+@Serializable
+public class Snapshot(
+    public val index: Long,
+    public val term: Long,
+    public val timeMilliseconds: Long,
+    public val configuration: Configuration,
+    @ByteString public val data: ByteArray,
+)
+
+/** Durable state with which a replica starts. */
+public class RecoveredState(
+    public val identifier: ReplicaIdentifier,
+    public val hardState: HardState,
+    public val snapshot: Snapshot?,
+    public val entries: List<LogEntry>,
+)
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -0,0 +1,64 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.model.Moment
+
+/** What the leader knows about the log of another replica. */
+internal class Progress(
+    val address: ReplicaAddress,
+    var nextIndex: Long,
+    now: Moment,
+) {
+    enum class Mode {
+        /** One append at a time, until the position where the logs match is found. */
+        PROBE,
+
+        /** Appends are sent without waiting for answers. */
+        PIPELINE,
+
+        /** Chunks of a snapshot are sent one at a time. */
+        SNAPSHOT,
+    }
+
+    var mode = Mode.PROBE
+    var matchIndex = 0L
+    var lastContact: Moment = now
+    var confirmedRound = 0L
+
+    /** Last indexes of the appends without an answer. */
+    val inflight = ArrayDeque<Long>()
+
+    /** True if nothing may be sent in the modes [Mode.PROBE] and [Mode.SNAPSHOT] until an answer or a heartbeat. */
+    var waiting = false
+    var snapshot: Snapshot? = null
+    var snapshotOffset = 0L
+
+    private var catchUpTarget = nextIndex
+    private var catchUpStart: Moment = now
+    var caughtUp = false
+        private set
+
+    fun probeFrom(index: Long) {
+        mode = Mode.PROBE
+        nextIndex = maxOf(index, matchIndex + 1)
+        inflight.clear()
+        waiting = false
+        snapshot = null
+    }
+
+    fun acknowledge(index: Long) {
+        matchIndex = maxOf(matchIndex, index)
+        nextIndex = maxOf(nextIndex, matchIndex + 1)
+        while (inflight.isNotEmpty() && inflight.first() <= matchIndex) inflight.removeFirst()
+    }
+
+    /**
+     * Measures the catching up of a learner in rounds: it has caught up once it received, within one election timeout,
+     * everything that the log held at the start of the round.
+     */
+    fun measureCatchUp(now: Moment, lastIndex: Long, options: ReplicaOptions) {
+        if (matchIndex < catchUpTarget) return
+        caughtUp = now - catchUpStart <= options.electionTimeout
+        catchUpTarget = lastIndex
+        catchUpStart = now
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
@@ -0,0 +1,47 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.model.Moment
+import kotlin.random.Random
+
+/** State that the parts of a [Replica] share. */
+internal class ReplicaContext(
+    val address: ReplicaAddress,
+    val options: ReplicaOptions,
+    recovered: RecoveredState,
+    val random: Random,
+    var now: Moment,
+) {
+    val log = ReplicaLog(recovered)
+    val outbox = Outbox()
+    var commitIndex: Long = log.snapshot?.index ?: 0
+    var appliedIndex: Long = commitIndex
+    private var hardState = recovered.hardState
+    private var hardStateChanged = false
+
+    val term: Long get() = hardState.term
+    val vote: ReplicaIdentifier? get() = hardState.vote
+    val isVoter: Boolean get() = log.configuration.isVoter(address.identifier)
+
+    fun setHardState(term: Long, vote: ReplicaIdentifier?) {
+        val changed = HardState(term, vote)
+        if (changed == hardState) return
+        hardState = changed
+        hardStateChanged = true
+    }
+
+    /** Sends at once; only for messages that promise nothing about durable state of this replica. */
+    fun send(to: ReplicaAddress, content: ReplicaMessageContent) =
+        outbox.emit(ReplicaAction.Send(to.instance, ReplicaMessage(address, to.identifier, term, content)))
+
+    /** Sends once all changes up to the end of this step are synced. */
+    fun sendAfterSync(to: ReplicaAddress, content: ReplicaMessageContent) {
+        val action = ReplicaAction.Send(to.instance, ReplicaMessage(address, to.identifier, term, content))
+        outbox.afterSync { outbox.emit(action) }
+    }
+
+    fun finish(): List<ReplicaAction> = outbox.finish { sequence ->
+        val state = if (hardStateChanged) hardState else null
+        hardStateChanged = false
+        log.takeChanges(sequence, state)
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
@@ -0,0 +1,155 @@
+package org.zinniahoist.consensus
+
+/**
+ * The log of one replica in memory: the entries after [baseIndex], and what of them is durable.
+ *
+ * Entries before the snapshot may be kept, for replicas that lag a little.
+ */
+internal class ReplicaLog(recovered: RecoveredState) {
+    var snapshot: Snapshot? = recovered.snapshot
+        private set
+    var baseIndex: Long = snapshot?.index ?: 0
+        private set
+    private var baseTerm: Long = snapshot?.term ?: 0
+    private var baseTime: Long = snapshot?.timeMilliseconds ?: 0
+    private val entries = ArrayList(recovered.entries)
+    private val configurations = ArrayDeque<Pair<Long, Configuration>>()
+
+    /** Last index up to which the entries are synced on this replica. */
+    var persistedIndex: Long = baseIndex + entries.size
+        private set
+    private var handedOutIndex = persistedIndex
+    private var truncateFrom: Long? = null
+    private var unsavedSnapshot: Snapshot? = null
+    private val pending = ArrayDeque<PendingPersist>()
+
+    init {
+        resetConfigurations()
+    }
+
+    val lastIndex: Long get() = baseIndex + entries.size
+    val lastTerm: Long get() = entries.lastOrNull()?.term ?: baseTerm
+    val lastTime: Long get() = entries.lastOrNull()?.timeMilliseconds ?: baseTime
+    val configuration: Configuration get() = configurations.last().second
+    val configurationIndex: Long get() = configurations.last().first
+
+    operator fun get(index: Long): LogEntry = entries[(index - baseIndex - 1).toInt()]
+
+    /** Returns the term of the entry at [index], or null if it is unknown. */
+    fun term(index: Long): Long? = when {
+        index == baseIndex -> baseTerm
+        index < baseIndex || index > lastIndex -> null
+        else -> this[index].term
+    }
+
+    fun configurationAt(index: Long): Configuration = configurations.last { it.first <= index }.second
+
+    fun isUpToDate(otherIndex: Long, otherTerm: Long): Boolean =
+        otherTerm > lastTerm || otherTerm == lastTerm && otherIndex >= lastIndex
+
+    fun append(entry: LogEntry) {
+        check(entry.index == lastIndex + 1) { "entry $entry does not follow index $lastIndex" }
+        entries += entry
+        entry.configuration?.let { configurations += entry.index to it }
+    }
+
+    fun truncateFrom(index: Long) {
+        entries.subList((index - baseIndex - 1).toInt(), entries.size).clear()
+        while (configurations.last().first >= index) configurations.removeLast()
+        if (index <= handedOutIndex) {
+            truncateFrom = minOf(index, truncateFrom ?: index)
+            handedOutIndex = index - 1
+        }
+        limitPersisted(index - 1)
+    }
+
+    /** Returns entries from [from], at least one if there is one, with at most [maximumBytes] of commands. */
+    fun slice(from: Long, maximumBytes: Int): List<LogEntry> {
+        val start = (from - baseIndex - 1).toInt()
+        var end = start
+        var bytes = 0L
+        while (end < entries.size) {
+            bytes += (entries[end].command?.size ?: 0) + ENTRY_OVERHEAD_BYTES
+            if (end > start && bytes > maximumBytes) break
+            end++
+        }
+        return if (start >= end) emptyList() else entries.subList(start, end).toList()
+    }
+
+    /** Records that [saved] is durable and drops the entries more than [trailingEntries] before it. */
+    fun compact(saved: Snapshot, trailingEntries: Long) {
+        if (saved.index <= (snapshot?.index ?: 0)) return
+        snapshot = saved
+        val newBase = saved.index - trailingEntries
+        if (newBase <= baseIndex) return
+        val last = this[newBase]
+        val configurationAtBase = configurationAt(newBase)
+        entries.subList(0, (newBase - baseIndex).toInt()).clear()
+        baseIndex = newBase
+        baseTerm = last.term
+        baseTime = last.timeMilliseconds
+        while (configurations.isNotEmpty() && configurations.first().first <= newBase) configurations.removeFirst()
+        configurations.addFirst(newBase to configurationAtBase)
+    }
+
+    /** Replaces the log up to the index of [received], and all of it if it doesn't contain that index and term. */
+    fun install(received: Snapshot) {
+        val keep = term(received.index) == received.term
+        val kept = if (keep) slice(received.index + 1, Int.MAX_VALUE) else emptyList()
+        snapshot = received
+        unsavedSnapshot = received
+        entries.clear()
+        entries += kept
+        baseIndex = received.index
+        baseTerm = received.term
+        baseTime = received.timeMilliseconds
+        resetConfigurations()
+        if (keep) {
+            handedOutIndex = maxOf(handedOutIndex, received.index)
+        } else {
+            handedOutIndex = received.index
+            limitPersisted(0)
+        }
+    }
+
+    /** Returns the changes since the last call, or null if there are none. */
+    fun takeChanges(sequence: Long, hardState: HardState?): ReplicaAction.Persist? {
+        val from = handedOutIndex + 1
+        val added = if (from > lastIndex) emptyList() else slice(from, Int.MAX_VALUE)
+        val logChanged = unsavedSnapshot != null || truncateFrom != null || added.isNotEmpty()
+        if (hardState == null && !logChanged) return null
+        val persist = ReplicaAction.Persist(sequence, hardState, unsavedSnapshot, truncateFrom, added)
+        unsavedSnapshot = null
+        truncateFrom = null
+        handedOutIndex = lastIndex
+        pending += PendingPersist(sequence, lastIndex)
+        return persist
+    }
+
+    fun onPersisted(sequence: Long) {
+        while (pending.isNotEmpty() && pending.first().sequence <= sequence) {
+            persistedIndex = maxOf(persistedIndex, pending.removeFirst().lastIndex)
+        }
+    }
+
+    private fun limitPersisted(index: Long) {
+        persistedIndex = minOf(persistedIndex, index)
+        pending.forEach { it.lastIndex = minOf(it.lastIndex, index) }
+    }
+
+    private fun resetConfigurations() {
+        configurations.clear()
+        configurations += baseIndex to (snapshot?.configuration ?: Configuration.EMPTY)
+        entries.forEach { entry -> entry.configuration?.let { configurations += entry.index to it } }
+    }
+
+    private class PendingPersist(
+        val sequence: Long,
+        var lastIndex: Long,
+    )
+
+    private companion object {
+        /** Bound of the encoded size of an entry without its command. */
+        const val ENTRY_OVERHEAD_BYTES = 64
+    }
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
@@ -0,0 +1,32 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.model.InstanceName
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * Settings of a [Replica].
+ *
+ * @property heartbeatInterval time between heartbeats of the leader.
+ * @property electionTimeout shortest silence of the leader after which a replica campaigns; the actual timeout is drawn
+ * between this and twice this. A leader that hears no majority for this long steps down.
+ * @property maximumBatchBytes limit of the commands in one append message and of one snapshot chunk; with the envelope
+ * it stays below the 4 MiB of a frame on a link.
+ * @property maximumCommandBytes larger commands are refused.
+ * @property maximumInflightAppends append messages on the way to one replica without an answer.
+ * @property maximumUncommittedEntries proposals above this number of uncommitted entries are refused.
+ * @property snapshotInterval applied entries after which a snapshot is taken.
+ * @property trailingEntries entries kept in memory before a snapshot, for replicas that lag a little.
+ * @property memberInstances instances whose replicas may join by themselves when their folder is empty.
+ */
+public data class ReplicaOptions(
+    public val heartbeatInterval: Duration = 100.milliseconds,
+    public val electionTimeout: Duration = 600.milliseconds,
+    public val maximumBatchBytes: Int = 1 shl 20,
+    public val maximumCommandBytes: Int = 1 shl 20,
+    public val maximumInflightAppends: Int = 32,
+    public val maximumUncommittedEntries: Int = 50_000,
+    public val snapshotInterval: Long = 200_000,
+    public val trailingEntries: Long = 10_000,
+    public val memberInstances: Set<InstanceName> = emptySet(),
+)
