Add the storage of a replica

Cause: votes and entries must be durable before a replica acknowledges them. Conclusion: a torn tail is told from corruption because no frame is written before the one before it is synced.

--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/FolderMaintenance.kt
@@ -0,0 +1,104 @@
+package org.zinniahoist.consensus
+
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import org.zinniahoist.model.InstanceName
+import java.io.IOException
+
+/**
+ * What the folder of a replica holds.
+ *
+ * @property identifier null if the folder is empty.
+ * @property tornBytes bytes of a write at the end of the log that a crash cut short.
+ * @property firstIndex index of the first entry after the snapshot.
+ */
+public data class FolderReport(
+    public val identifier: ReplicaIdentifier?,
+    public val hardState: HardState,
+    public val snapshotIndex: Long,
+    public val snapshotBytes: Long,
+    public val firstIndex: Long,
+    public val lastIndex: Long,
+    public val segments: Int,
+    public val tornBytes: Long,
+    public val configuration: Configuration,
+)
+
+/** Functions for operators on the folder of a replica that is not running. */
+public object FolderMaintenance {
+    /** Verifies all checksums and the sequence of the entries. Changes nothing. */
+    public fun inspect(files: FileStore): Either<StorageError, FolderReport> = FolderContent.read(files).map(::report)
+
+    /**
+     * Copies the verified folder [source] to the empty folder [target].
+     *
+     * The copy has the identity of the original. It may take the place of the original only if that is gone and has not
+     * run since; otherwise use [restore] for a new group, or an empty folder to rejoin the group.
+     */
+    public fun copy(source: FileStore, target: FileStore): Either<StorageError, FolderReport> =
+        inspect(source).flatMap { report ->
+            onEmptyFolder(target) {
+                val names = source.list().filter { !it.endsWith(TEMPORARY_SUFFIX) }
+                // The identity comes last: a copy without it is refused.
+                for (name in names.sortedBy { it == FolderContent.IDENTITY }) target.replace(name, source.read(name))
+                report
+            }
+        }
+
+    /**
+     * Makes the empty folder [target] the first replica of a new group with the state of [backup], whose only member
+     * has [identifier] and runs on [instance]. The other replicas join with empty folders.
+     *
+     * Entries at the end of the log that the old group had not committed become committed.
+     */
+    public fun restore(
+        backup: FileStore,
+        target: FileStore,
+        identifier: ReplicaIdentifier,
+        instance: InstanceName,
+    ): Either<StorageError, FolderReport> = FolderContent.read(backup).flatMap { content ->
+        onEmptyFolder(target) {
+            val state = content.recovered(identifier)
+            val term = state.hardState.term + 1
+            val last = state.entries.lastOrNull()
+            val index = (last?.index ?: state.snapshot?.index ?: 0) + 1
+            val time = last?.timeMilliseconds ?: state.snapshot?.timeMilliseconds ?: 0
+            val members = Configuration(listOf(Member(ReplicaAddress(identifier, instance), voter = true)))
+            val entries = state.entries + LogEntry(index, term, time, command = null, members)
+            state.snapshot?.let {
+                target.replace(FolderContent.SNAPSHOT, FrameCodec.encode(Snapshot.serializer(), it))
+            }
+            val segment = entries.chunked(ENTRIES_PER_FRAME).map { FrameCodec.encode(Segment.serializer, it) }
+            segment.forEach { target.append(Segment.name(1), it) }
+            target.sync(Segment.name(1))
+            GroupStorage.writeIdentity(target, identifier, HardState(term, null))
+        }.flatMap { inspect(target) }
+    }
+
+    private fun <T> onEmptyFolder(target: FileStore, block: () -> T): Either<StorageError, T> = try {
+        if (target.list().isEmpty()) block().right() else StorageError.NotEmpty(target.location).left()
+    } catch (exception: IOException) {
+        StorageError.Failed(target.location, exception).left()
+    }
+
+    private fun report(content: FolderContent): FolderReport {
+        val entries = content.entriesAfterSnapshot
+        val snapshotIndex = content.snapshot?.index ?: 0
+        val configuration = entries.lastOrNull { it.configuration != null }?.configuration
+        return FolderReport(
+            identifier = content.identifier,
+            hardState = content.hardState,
+            snapshotIndex = snapshotIndex,
+            snapshotBytes = content.snapshot?.data?.size?.toLong() ?: 0,
+            firstIndex = snapshotIndex + 1,
+            lastIndex = snapshotIndex + entries.size,
+            segments = content.segments.size,
+            tornBytes = content.tornBytes,
+            configuration = configuration ?: content.snapshot?.configuration ?: Configuration.EMPTY,
+        )
+    }
+
+    private const val ENTRIES_PER_FRAME = 1_000
+}
--- /dev/null
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/FrameCodec.kt
@@ -0,0 +1,63 @@
+@file:OptIn(ExperimentalSerializationApi::class)
+
+package org.zinniahoist.consensus
+
+import com.dynatrace.hash4j.hashing.Hashing
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.cbor.Cbor
+import java.nio.ByteBuffer
+
+/**
+ * Frames with a checksum: magic number (4 bytes), length of the payload (4 bytes), XXH3 hash (8 bytes), CBOR payload.
+ *
+ * One frame holds all that was written before one sync. So a damaged frame that another frame follows was synced, and
+ * is corruption; a damaged frame at the end of the last segment may be a write that a crash cut short.
+ */
+internal object FrameCodec {
+    const val HEADER_BYTES = 16
+    private const val MAGIC = 0x7A6E6831
+    private const val MAXIMUM_PAYLOAD_BYTES = 1 shl 30
+
+    val cbor =
+        Cbor {
+            ignoreUnknownKeys = true
+            useDefiniteLengthEncoding = true
+        }
+
+    fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray {
+        val payload = cbor.encodeToByteArray(serializer, value)
+        return ByteBuffer
+            .allocate(HEADER_BYTES + payload.size)
+            .putInt(MAGIC)
+            .putInt(payload.size)
+            .putLong(checksum(payload, 0, payload.size))
+            .put(payload)
+            .array()
+    }
+
+    /** Returns the length of the valid frame at [offset], or null. */
+    fun frameLength(bytes: ByteArray, offset: Int): Int? {
+        if (bytes.size - offset < HEADER_BYTES) return null
+        val header = ByteBuffer.wrap(bytes, offset, HEADER_BYTES)
+        if (header.getInt() != MAGIC) return null
+        val length = header.getInt()
+        if (length < 0 || length > MAXIMUM_PAYLOAD_BYTES || length > bytes.size - offset - HEADER_BYTES) return null
+        if (header.getLong() != checksum(bytes, offset + HEADER_BYTES, length)) return null
+        return HEADER_BYTES + length
+    }
+
+    fun <T> decode(
+        serializer: KSerializer<T>,
+        bytes: ByteArray,
+        offset: Int,
+        length: Int,
+    ): T = cbor.decodeFromByteArray(serializer, bytes.copyOfRange(offset + HEADER_BYTES, offset + length))
+
+    /** Returns true if a valid frame starts anywhere after [offset]. */
+    fun hasFrameAfter(bytes: ByteArray, offset: Int): Boolean =
+        (offset + 1..bytes.size - HEADER_BYTES).any { frameLength(bytes, it) != null }
+
+    private fun checksum(bytes: ByteArray, offset: Int, length: Int): Long =
+        Hashing.xxh3_64().hashBytesToLong(bytes, offset, length)
+}
