--- a/policy/src/main/kotlin/org/zinniahoist/policy/poison/PoisonRegistry.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/poison/PoisonRegistry.kt
@@ -12,6 +12,9 @@
     /** Decides whether a request may be given to [instance]. Changes nothing. */
     public fun decide(fingerprint: Fingerprint, instance: InstanceName, now: Moment): PoisonDecision
 
+    /** Returns the only instance that may get a request now, or null if there is no such restriction. */
+    public fun confinedTo(fingerprint: Fingerprint, now: Moment): InstanceName?
+
     /** Records that a request was given to [instance]. */
     public fun onStart(fingerprint: Fingerprint, instance: InstanceName, now: Moment)
 
@@ -47,6 +50,8 @@
     override fun decide(fingerprint: Fingerprint, instance: InstanceName, now: Moment): PoisonDecision =
         PoisonDecision.ALLOW
 
+    override fun confinedTo(fingerprint: Fingerprint, now: Moment): InstanceName? = null
+
     override fun onStart(fingerprint: Fingerprint, instance: InstanceName, now: Moment): Unit = Unit
 
     override fun onEnd(
