--- a/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
@@ -10,8 +10,12 @@
 import org.zinniahoist.state.StateCodec
 import java.util.TreeMap
 
-/** The replicated state of the `settings` group: settings tree, weight versions, orders and drains. */
-public class CoordinationStateMachine : StateMachine {
+/**
+ * The replicated state of the `settings` group: settings tree, weight versions, orders and drains.
+ *
+ * @param onTreeChanged called on the replica's thread with each tree that becomes the committed one.
+ */
+public class CoordinationStateMachine(private val onTreeChanged: (SettingsTree) -> Unit = {}) : StateMachine {
     private val edits = EditLedger()
     private val published = HashMap<ModelName, Set<WeightVersion>>()
     private val withdrawn = HashMap<ModelName, Set<WeightVersion>>()
@@ -54,12 +58,13 @@
         state.orders.forEach { (upstream, byKind) -> orders[upstream] = TreeMap(byKind) }
         draining.clear()
         draining.addAll(state.draining)
+        onTreeChanged(edits.tree)
     }
 
     /** Performs [command] at position [index] of the log. */
     public fun perform(index: Long, timeMilliseconds: Long, command: CoordinationCommand): CoordinationAnswer =
         when (command) {
-            is CoordinationCommand.Edit -> CoordinationAnswer.Edited(edits.submit(command.edit, timeMilliseconds))
+            is CoordinationCommand.Edit -> edit(command, timeMilliseconds)
 
             is CoordinationCommand.PublishVersion -> {
                 published.merge(command.model, setOf(command.version)) { known, added -> known + added }
@@ -101,6 +106,13 @@
         )
     }
 
+    private fun edit(command: CoordinationCommand.Edit, timeMilliseconds: Long): CoordinationAnswer {
+        val before = edits.tree.revision
+        val result = edits.submit(command.edit, timeMilliseconds)
+        if (edits.tree.revision != before) onTreeChanged(edits.tree)
+        return CoordinationAnswer.Edited(result)
+    }
+
     private fun target(model: ModelName): WeightVersion? =
         (published[model].orEmpty() - withdrawn[model].orEmpty()).maxOrNull()
 
