--- /dev/null
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/PlannedEdit.kt
@@ -0,0 +1,10 @@
+package org.zinniahoist.settings
+
+import kotlinx.serialization.Serializable
+
+/** An edit of a plan, with the values of branches below that it changes. */
+@Serializable
+public data class PlannedEdit(
+    public val edit: BranchEdit,
+    public val effects: List<InheritedEffect> = emptyList(),
+)
--- a/settings/src/main/kotlin/org/zinniahoist/settings/TreeSchema.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/TreeSchema.kt
@@ -8,6 +8,9 @@
 
 private val SHARE = KeyType.Fraction(0.0, 1.0)
 
+/** Outlier ejection never removes more; the rest could not carry the load. */
+private const val EJECTION_SHARE = 1.0 / 3
+
 private fun number(range: LongRange, unit: String? = null) = KeyType.WholeNumber(range, unit)
 
 private fun time(minimum: Duration, maximum: Duration) = KeyType.Time(minimum, maximum)
@@ -21,9 +24,9 @@
     internal val ejectionShare =
         SettingKey(
             "routing.ejection-share",
-            KeyType.Fraction(0.0, 0.5),
+            KeyType.Fraction(0.0, EJECTION_SHARE),
             "Largest share of candidates that outlier ejection removes.",
-            1.0 / 3,
+            EJECTION_SHARE,
         )
     internal val ejectionFailures =
         SettingKey("routing.ejection-failures", number(1L..100L), "Failures in a row that eject an upstream.", 5L)
@@ -102,7 +105,7 @@
         SettingKey("limits.maximum-budget", time(100.milliseconds, 1.hours), "Largest time budget.", 17.minutes)
 
     internal val retryBudget =
-        SettingKey("retry.budget", KeyType.Fraction(0.0, 0.5), "Retries as a share of requests.", 0.1)
+        SettingKey("retry.budget", KeyType.Fraction(0.0, 0.1), "Retries as a share of requests.", 0.1)
     internal val attempts =
         SettingKey("retry.attempts", number(1L..10L), "Attempts at one request, the first one included.", 3L)
     internal val backoff =
@@ -135,9 +138,9 @@
             10.seconds,
         )
     internal val ledgerRetention =
-        SettingKey("ledger.retention", time(1.hours, 168.hours), "Time that idempotency keys are kept.", 24.hours)
+        SettingKey("ledger.retention", time(24.hours, 168.hours), "Time that idempotency keys are kept.", 24.hours)
     internal val suspectRetention =
-        SettingKey("poison.retention", time(1.minutes, 24.hours), "Time that a poison suspect is kept.", 1.hours)
+        SettingKey("poison.retention", time(1.hours, 24.hours), "Time that a poison suspect is kept.", 1.hours)
     internal val listAge =
         SettingKey(
             "platform.list-age",
@@ -155,9 +158,17 @@
     internal val trainerWeight =
         SettingKey("trainer.*.weight", number(1L..1_000L), "Share of engine time relative to other trainers.", 1L)
     internal val trainerBound =
-        SettingKey("trainer.*.staleness-bound", number(0L..1_000L, "versions"), "Absent: staleness.bound.")
+        SettingKey(
+            "trainer.*.staleness-bound",
+            number(0L..1_000L, "versions"),
+            "Largest staleness; absent: staleness.bound.",
+        )
     internal val trainerPreference =
-        SettingKey("trainer.*.staleness-preference", SHARE, "Absent: staleness.preference.")
+        SettingKey(
+            "trainer.*.staleness-preference",
+            SHARE,
+            "Staleness (1) against idle time (0); absent: staleness.preference.",
+        )
     internal val trainerToken =
         SettingKey("trainer.*.token-hash", KeyType.Digest, "SHA-256 of the bearer token; absent: no access.")
 
@@ -166,7 +177,11 @@
     internal val callerConcurrency =
         SettingKey("caller.*.concurrency", number(1L..1_000_000L, "requests"), "Requests of the caller in flight.", 64L)
     internal val callerBudget =
-        SettingKey("caller.*.budget", time(100.milliseconds, 1.hours), "Absent: limits.default-budget.")
+        SettingKey(
+            "caller.*.budget",
+            time(100.milliseconds, 1.hours),
+            "Time budget without a header; absent: limits.default-budget.",
+        )
     internal val callerServices =
         SettingKey(
             "caller.*.non-idempotent-services",
