Test the plan for a branch that goes to another office

Cause: a planted fault in the planner that looked at the branch alone, not at those above it, passed all tests. Change: a test that moves a branch with a child to another office. Conclusion: removals before a move are covered.

--- a/settings/src/test/kotlin/org/zinniahoist/settings/DeclaredTreeTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/DeclaredTreeTest.kt
@@ -118,6 +118,14 @@
             expectThat(applied(before, edits)).isEqualTo(DeclaredTree(target))
         }
 
+        @Test
+        fun `makes a branch and those below it anew when it goes to another office`() {
+            val given = DeclaredTree(declared.branches + (BranchName("root/a") to DeclaredBranch(BETA, emptyMap())))
+            val edits = plan(given).getOrElse { error(it) }
+            expectThat(edits.map { it.edit.branch.value }).containsExactly("root/a/x", "root/a", "root/a", "root/a/x")
+            expectThat(applied(TWO_OFFICES, edits)).isEqualTo(given)
+        }
+
         @Test
         fun `is empty for the tree itself and reverts a later edit`() {
             expectThat(plan(declared).getOrElse { error(it) }).isEqualTo(emptyList())
