Test the rendered form of sets, durations and sizes

Cause: a planted fault that damages sets of names in the rendered form passed the round-trip property, whose trees did not show it. Change: a test of one file with each such form. Conclusion: the round trip no longer rests on generated trees alone.

--- a/settings/src/test/kotlin/org/zinniahoist/settings/DeclaredTreeTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/DeclaredTreeTest.kt
@@ -74,6 +74,17 @@
         }
     }
 
+    @Test
+    fun `The rendered form keeps sets, empty sets, durations and sizes`() {
+        val lines =
+            "caller.c.home-region = cz\ncaller.c.non-idempotent-services = a, orders\ncaller.d.home-region = cz\n" +
+                "caller.d.non-idempotent-services =\nlimits.body-size = 64KiB\nretry.hedge-delay = 1m 30s\n"
+        val text = "[root]\noffice = s\n$lines"
+        val tree = DeclaredTreeReader.parse(mapOf("s.ini" to text)).getOrElse { error(it.joinToString("\n")) }
+        expectThat(tree.branches.values.single().values.size).isEqualTo(6)
+        expectThat(tree.render()).isEqualTo(text)
+    }
+
     @Nested
     inner class `A plan` {
         @Test
