--- a/standin/src/main/kotlin/org/zinniahoist/standin/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.standin
-
-internal object Placeholder
