--- a/standin/src/main/kotlin/org/zinniahoist/standin/client/TrainerTally.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/client/TrainerTally.kt
@@ -63,7 +63,8 @@
             sample.spans.sumOf { it.tokens } != sample.tokens -> "the label does not cover all tokens"
             sample.tokens > group.maximumTokens -> "the sample has more tokens than asked for"
             oldest == null -> "the label is empty"
-            stalenessBound != null && version - oldest > stalenessBound -> "the sample is ${version - oldest} versions old"
+            stalenessBound != null && version - oldest > stalenessBound ->
+                "the sample is ${version - oldest} versions old"
             else -> AnswerCheck.problem(group.prompt, sample.text, sample.tokens)
         }
     }
