--- a/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
@@ -48,7 +48,7 @@
         return stream("/v1/chat/completions", request, headers)
     }
 
-    /** Sends [body] to a plain service with `POST`, with `Idempotency-Key` if [key] is given. The future never fails. */
+    /** Sends [body] to a plain service, with `Idempotency-Key` if [key] is given. The future never fails. */
     public fun post(
         service: String,
         path: String,
--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/AnswerCheck.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/AnswerCheck.kt
@@ -13,10 +13,12 @@
         val seed = start.groupValues[2].toULong(HEXADECIMAL).toLong()
         if (fingerprint != AnswerText.fingerprintOf(prompt)) return "the answer belongs to another prompt"
         val count = END.find(text)?.groupValues?.get(1)?.toInt() ?: return "the answer is truncated"
-        if (count < 1 || count > text.length) return "the answer states $count tokens"
-        if (tokens != null && tokens != count) return "the answer has $count tokens, but $tokens were reported"
-        val position = firstDifference(text, fingerprint, seed, count) ?: return null
-        return "the answer differs at token $position of $count"
+        val position = if (count in 1..text.length) firstDifference(text, fingerprint, seed, count) else 0
+        return when {
+            position != null -> "the answer differs at token $position of $count"
+            tokens != null && tokens != count -> "the answer has $count tokens, but $tokens were reported"
+            else -> null
+        }
     }
 
     private fun firstDifference(
--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/AnswerText.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/AnswerText.kt
@@ -65,8 +65,8 @@
 }
 
 /**
- * Pareto distribution of answer lengths: the prompt sets the scale between [minimumScale] and [maximumScale] tokens, the
- * seed draws the length, at most [maximumTokens]. A smaller [shape] gives a heavier tail.
+ * Pareto distribution of answer lengths: the prompt sets the scale between [minimumScale] and [maximumScale] tokens,
+ * the seed draws the length, at most [maximumTokens]. A smaller [shape] gives a heavier tail.
  */
 public data class LengthDistribution(
     public val minimumScale: Int = 16,
--- a/standin/src/main/kotlin/org/zinniahoist/standin/http/ConnectionControl.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/http/ConnectionControl.kt
@@ -49,8 +49,13 @@
         // Closing the channel instead would let the HTTP/2 handler finish the open streams first.
         fun reset() {
             val current = context ?: return
-            current.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-            current.close()
+            // On the event loop, because setting the option of a channel that closes meanwhile throws.
+            current.channel().eventLoop().execute {
+                if (current.channel().isOpen) {
+                    current.channel().config().setOption(ChannelOption.SO_LINGER, 0)
+                    current.close()
+                }
+            }
         }
 
         override fun handlerAdded(context: ChannelHandlerContext) {
--- a/standin/src/main/kotlin/org/zinniahoist/standin/service/StandInService.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/service/StandInService.kt
@@ -44,7 +44,7 @@
 /**
  * Test double of a plain service such as an order service or a case file service.
  *
- * It executes each `POST /orders` and `POST /notes` that it receives, repeated keys included, and records the execution.
+ * It executes each `POST /orders` and `POST /notes` that it receives, repeated keys included, and records it.
  * `GET` on the same paths lists the executions.
  */
 public class StandInService(clockRate: Double = 1.0) : AutoCloseable {
