--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/FrameCodec.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/FrameCodec.kt
@@ -23,6 +23,7 @@
         Cbor {
             ignoreUnknownKeys = true
             useDefiniteLengthEncoding = true
+            preferCborLabelsOverNames = true
         }
 
     fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/LogEntry.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/LogEntry.kt
@@ -5,7 +5,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
-import kotlinx.serialization.cbor.CborArray
+import kotlinx.serialization.cbor.CborLabel
 
 /**
  * One entry of the replicated log: a command, a configuration, or neither (the first entry of a leader's term).
@@ -14,13 +14,12 @@
  * decreases along the log.
  */
 @Serializable
-@CborArray
 public class LogEntry(
-    public val index: Long,
-    public val term: Long,
-    public val timeMilliseconds: Long,
-    @ByteString public val command: ByteArray? = null,
-    public val configuration: Configuration? = null,
+    @CborLabel(1) public val index: Long,
+    @CborLabel(2) public val term: Long,
+    @CborLabel(3) public val timeMilliseconds: Long,
+    @CborLabel(4) @ByteString public val command: ByteArray? = null,
+    @CborLabel(5) public val configuration: Configuration? = null,
 ) {
     override fun toString(): String = "$index@$term"
 }
--- /dev/null
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -0,0 +1,204 @@
+package org.zinniahoist.consensus
+
+import org.zinniahoist.model.InstanceName
+import java.nio.ByteBuffer
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** A group of replicas under random faults. The same [seed] gives the same run. */
+internal class Simulation(
+    private val seed: Long,
+    private val fault: PlantedFault = PlantedFault.NONE,
+    private val trace: ((String) -> Unit)? = null,
+) {
+    private class Delivery(
+        val at: Int,
+        val order: Long,
+        val to: InstanceName,
+        val message: ReplicaMessage,
+    )
+
+    private val random = Random(seed)
+    private val oracle = Oracle()
+    private val instances = List(INSTANCES) { InstanceName("n$it") }
+    private val options =
+        ReplicaOptions(
+            heartbeatInterval = 30.milliseconds,
+            electionTimeout = 150.milliseconds,
+            maximumBatchBytes = 300,
+            maximumInflightAppends = 4,
+            snapshotInterval = 25,
+            trailingEntries = random.nextLong(0, 10),
+            memberInstances = instances.toSet(),
+        )
+    private val nodes = instances.map { SimulatedNode(it, options, random, oracle, fault) }
+    private val byInstance = nodes.associateBy { it.instance }
+    private val network = PriorityQueue(compareBy<Delivery>({ it.at }, { it.order }))
+    private val cut = HashSet<Pair<InstanceName, InstanceName>>()
+    private var step = 0
+    private var order = 0L
+    private var nextRequest = 1L
+    private var lossPercent = 0
+    private var maximumDelay = 3
+    private var healed = false
+    private val lost = HashSet<ReplicaIdentifier>()
+
+    /** Runs all steps, then heals all faults and checks that the group makes progress and loses nothing. */
+    fun run() {
+        val voters = nodes.take(VOTERS)
+        val members = Configuration(voters.map { Member(ReplicaAddress(it.identifier, it.instance), voter = true) })
+        voters.forEach { GroupStorage.bootstrap(it.files, it.identifier, members, timeMilliseconds = 1) }
+        nodes.take(VOTERS).forEach { it.start() }
+        repeat(STEPS) { advance() }
+        heal()
+        val target = oracle.acknowledgedIndex
+        repeat(HEALING_STEPS) {
+            advance()
+            if (oracle.acknowledgedIndex > target && isConverged()) return
+        }
+        throw ViolationException("no progress after all faults were healed")
+    }
+
+    private fun isConverged(): Boolean {
+        val leader = nodes.find { it.replica?.isLeader == true } ?: return false
+        val members = leader.replica?.configuration?.voters.orEmpty()
+        return nodes.filter { it.identifier in members }.all { it.lastApplied >= oracle.acknowledgedIndex }
+    }
+
+    private fun advance() {
+        step++
+        nodes.forEach { it.passTime(STEP_MILLISECONDS) }
+        if (!healed) injectFault()
+        issueRequest()
+        while (network.isNotEmpty() && network.peek().at <= step) network.poll().let { deliver(it.to, it.message) }
+        for (node in nodes) {
+            if (node.pausedUntil > step) continue
+            node.inbox += ReplicaEvent.Tick
+            node.step { to, message -> send(node.instance, to, message) }
+            if (healed || random.nextInt(100) < 60) node.sync()
+        }
+    }
+
+    private fun deliver(to: InstanceName, message: ReplicaMessage) {
+        trace?.invoke("$step deliver ${message.from.instance}->$to term=${message.term} ${message.content}")
+        byInstance.getValue(to).receive(message)
+    }
+
+    private fun send(from: InstanceName, to: InstanceName, message: ReplicaMessage) {
+        if (from to to in cut || random.nextInt(100) < lossPercent) return
+        val copies = if (!healed && random.nextInt(100) < 3) 2 else 1
+        repeat(copies) { network += Delivery(step + 1 + random.nextInt(maximumDelay), order++, to, message) }
+    }
+
+    private fun issueRequest() {
+        val node = nodes[random.nextInt(nodes.size)]
+        if (node.replica == null || !healed && random.nextInt(100) < 20) return
+        val leader = if (random.nextInt(100) <
+            80
+        ) {
+            nodes.filter { it.replica?.isLeader == true }.randomOrNull(random)
+        } else {
+            node
+        }
+        val target = leader ?: node
+        val request = nextRequest++
+        if (random.nextInt(100) < 60) {
+            val command = ByteBuffer.allocate(8 + random.nextInt(60)).putLong(request).array()
+            target.propose(request, command)
+        } else {
+            target.read(request)
+        }
+    }
+
+    private fun injectFault() {
+        val node = nodes[random.nextInt(nodes.size)]
+        when (random.nextInt(240)) {
+            0, 1, 2 -> if (node.replica != null) note("crash", node) { node.crash() }
+            in 3..18 -> if (node.replica == null) note("start", node) { node.start() }
+            19, 20 -> note("pause", node) { node.pausedUntil = step + random.nextInt(60) }
+            21, 22 -> partition()
+            23, 24, 25 -> cut.clear()
+            26 -> cut += node.instance to instances[random.nextInt(INSTANCES)]
+            27 -> lossPercent = random.nextInt(30)
+            28 -> maximumDelay = 1 + random.nextInt(12)
+            29 -> node.clockRate = 0.5 + random.nextDouble() * 1.5
+            30 -> node.wallMilliseconds += random.nextLong(-5_000, 5_000)
+            in 31..34 -> if (mayLoseDisk(node)) note("replace disk", node) { replaceDisk(node) }
+            35, 36 -> changeMembership(node)
+            37 -> if (node.replica != null) note("fail syncs", node) { node.files.failSyncs = true }
+            else -> Unit
+        }
+    }
+
+    private fun partition() {
+        cut.clear()
+        val side = instances.filter { random.nextBoolean() }.toSet()
+        for (from in instances) for (to in instances) if ((from in side) != (to in side)) cut += from to to
+    }
+
+    private fun changeMembership(node: SimulatedNode) {
+        val leader = nodes.find { it.replica?.isLeader == true } ?: return
+        val voters = leader.replica?.configuration?.voters.orEmpty()
+        if (voters.size <= VOTERS || node.identifier !in voters) return
+        val change = MembershipChange.Remove(node.identifier)
+        leader.inbox += ReplicaEvent.ChangeMembership(nextRequest++, change)
+        trace?.invoke("$step remove ${node.instance}")
+    }
+
+    /** A group survives the loss of a disk only if a majority still holds what the lost replica acknowledged. */
+    private fun mayLoseDisk(node: SimulatedNode): Boolean {
+        if (nodes.any { it.replica == null && it !== node }) return false
+        val configurations = nodes.filter { it !== node }.mapNotNull { it.replica?.configuration }
+        return configurations.filter { it.members.isNotEmpty() }.all { configuration ->
+            configuration.voters.size >= VOTERS && configuration.voters.none { it in lost }
+        }
+    }
+
+    private fun replaceDisk(node: SimulatedNode) {
+        lost += node.identifier
+        node.replaceDisk()
+        node.start()
+    }
+
+    private fun heal() {
+        healed = true
+        cut.clear()
+        lossPercent = 0
+        maximumDelay = 2
+        for (node in nodes) {
+            node.pausedUntil = 0
+            node.clockRate = 1.0
+            if (node.files.failSyncs) node.crash()
+            if (node.replica == null) note("start", node) { node.start() }
+        }
+    }
+
+    private fun note(what: String, node: SimulatedNode, block: () -> Unit) {
+        trace?.invoke("$step $what ${node.instance}")
+        block()
+    }
+
+    companion object {
+        private const val INSTANCES = 5
+        private const val VOTERS = 3
+        private const val STEPS = 400
+        private const val HEALING_STEPS = 1_000
+        private const val STEP_MILLISECONDS = 10
+
+        /** Runs one seed and returns null, or the failure with its trace. */
+        fun check(seed: Long, fault: PlantedFault = PlantedFault.NONE): String? {
+            val failure = runCatching { Simulation(seed, fault).run() }.exceptionOrNull() ?: return null
+            val lines = ArrayDeque<String>()
+            runCatching {
+                Simulation(seed, fault) {
+                    lines += it
+                    if (lines.size > TRACE_LINES) lines.removeFirst()
+                }.run()
+            }
+            return "seed=$seed fault=$fault ${failure.stackTraceToString()}\n${lines.joinToString("\n")}"
+        }
+
+        private const val TRACE_LINES = 200
+    }
+}
