Let replicas campaign whose removal is not known to be committed

Change: a replica campaigns if any configuration from the commit index on gives it a vote; a replica that is no member asks to join in any case. The simulation also crashes several replicas at once, pauses leaders and slows syncs.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -95,11 +95,12 @@
 
     private fun onTick() {
         val leading = leader
-        when {
-            leading != null -> if (!leading.onTick()) becomeFollower(term, null)
-            context.isVoter -> if (election.isDue) campaign()
-            else -> requestToJoin()
+        if (leading != null) {
+            if (!leading.onTick()) becomeFollower(term, null)
+            return
         }
+        if (election.isDue && context.mayCampaign) campaign()
+        requestToJoin()
     }
 
     private fun campaign() {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
@@ -22,6 +22,11 @@
     val vote: ReplicaIdentifier? get() = hardState.vote
     val isVoter: Boolean get() = log.configuration.isVoter(address.identifier)
 
+    /**
+     * A voter whose removal is not known to be committed may hold the longest log. It must campaign, or nobody can win.
+     */
+    val mayCampaign: Boolean get() = log.configurationsFrom(commitIndex).any { it.isVoter(address.identifier) }
+
     fun setHardState(term: Long, vote: ReplicaIdentifier?) {
         val changed = HardState(term, vote)
         if (changed == hardState) return
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
@@ -44,6 +44,10 @@
 
     fun configurationAt(index: Long): Configuration = configurations.last { it.first <= index }.second
 
+    /** Returns the configuration in force at [index] and all later ones. */
+    fun configurationsFrom(index: Long): List<Configuration> =
+        listOf(configurationAt(index)) + configurations.filter { it.first > index }.map { it.second }
+
     fun isUpToDate(otherIndex: Long, otherTerm: Long): Boolean =
         otherTerm > lastTerm || otherTerm == lastTerm && otherIndex >= lastIndex
 
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Oracle.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Oracle.kt
@@ -12,6 +12,10 @@
     )
 
     private val applied = ArrayList<Applied>()
+
+    /** Numbers of what happened, to show what a run exercised. */
+    val counts = java.util.TreeMap<String, Long>()
+
     private val leaders = HashMap<Long, ReplicaIdentifier>()
 
     /** Index that an answer given to a client by now has shown; reads that start now must include it. */
@@ -22,7 +26,12 @@
     var acknowledgedIndex = 0L
         private set
 
+    fun count(what: String) {
+        counts.merge(what, 1, Long::plus)
+    }
+
     fun onLeader(term: Long, leader: ReplicaIdentifier) {
+        count("leaders")
         val other = leaders.putIfAbsent(term, leader)
         if (other != null && other != leader) throw ViolationException("term $term has leaders $other and $leader")
     }
@@ -46,11 +55,13 @@
     }
 
     fun onRestore(index: Long, chain: Long) {
+        count("restores")
         val known = applied.getOrNull((index - 1).toInt()) ?: throw ViolationException("unknown snapshot at $index")
         if (known.chain != chain) throw ViolationException("snapshot at $index differs from the log")
     }
 
     fun onAcknowledged(index: Long, identifier: Long) {
+        count("writes")
         val command = applied.getOrNull((index - 1).toInt())?.entry?.command
         if (command == null || ByteBuffer.wrap(command).getLong() != identifier) {
             throw ViolationException("write $identifier acknowledged at $index, which holds another command")
@@ -60,6 +71,7 @@
     }
 
     fun onRead(index: Long, floor: Long) {
+        count("reads")
         if (index < floor) throw ViolationException("a read saw index $index after $floor had been shown")
         visibleIndex = maxOf(visibleIndex, index)
     }
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -20,7 +20,7 @@
     )
 
     private val random = Random(seed)
-    private val oracle = Oracle()
+    val oracle = Oracle()
     private val instances = List(INSTANCES) { InstanceName("n$it") }
     private val options =
         ReplicaOptions(
@@ -40,6 +40,7 @@
     private var order = 0L
     private var nextRequest = 1L
     private var lossPercent = 0
+    private var syncPercent = 60
     private var maximumDelay = 3
     private var healed = false
     private val lost = HashSet<ReplicaIdentifier>()
@@ -76,7 +77,7 @@
             if (node.pausedUntil > step) continue
             node.inbox += ReplicaEvent.Tick
             node.step { to, message -> send(node.instance, to, message) }
-            if (healed || random.nextInt(100) < 60) node.sync()
+            if (healed || random.nextInt(100) < syncPercent) node.sync()
         }
     }
 
@@ -115,13 +116,18 @@
         val node = nodes[random.nextInt(nodes.size)]
         when (random.nextInt(240)) {
             0, 1, 2 -> if (node.replica != null) note("crash", node) { node.crash() }
+            39 -> nodes.filter {
+                it.replica != null && random.nextBoolean()
+            }.forEach { note("crash", it) { it.crash() } }
             in 3..18 -> if (node.replica == null) note("start", node) { node.start() }
             19, 20 -> note("pause", node) { node.pausedUntil = step + random.nextInt(60) }
             21, 22 -> partition()
             23, 24, 25 -> cut.clear()
             26 -> cut += node.instance to instances[random.nextInt(INSTANCES)]
             27 -> lossPercent = random.nextInt(30)
-            28 -> maximumDelay = 1 + random.nextInt(12)
+            28 -> maximumDelay = 1 + random.nextInt(if (random.nextBoolean()) 5 else 40)
+            38, 40 -> nodes.find { it.replica?.isLeader == true }?.let { it.pausedUntil = step + random.nextInt(60) }
+            41 -> syncPercent = 5 + random.nextInt(95)
             29 -> node.clockRate = 0.5 + random.nextDouble() * 1.5
             30 -> node.wallMilliseconds += random.nextLong(-5_000, 5_000)
             in 31..34 -> if (mayLoseDisk(node)) note("replace disk", node) { replaceDisk(node) }
@@ -143,6 +149,7 @@
         if (voters.size <= VOTERS || node.identifier !in voters) return
         val change = MembershipChange.Remove(node.identifier)
         leader.inbox += ReplicaEvent.ChangeMembership(nextRequest++, change)
+        oracle.count("remove")
         trace?.invoke("$step remove ${node.instance}")
     }
 
@@ -175,6 +182,7 @@
     }
 
     private fun note(what: String, node: SimulatedNode, block: () -> Unit) {
+        oracle.count(what)
         trace?.invoke("$step $what ${node.instance}")
         block()
     }
@@ -187,8 +195,15 @@
         private const val STEP_MILLISECONDS = 10
 
         /** Runs one seed and returns null, or the failure with its trace. */
-        fun check(seed: Long, fault: PlantedFault = PlantedFault.NONE): String? {
-            val failure = runCatching { Simulation(seed, fault).run() }.exceptionOrNull() ?: return null
+        fun check(
+            seed: Long,
+            fault: PlantedFault = PlantedFault.NONE,
+            onCounts: (Map<String, Long>) -> Unit = {},
+        ): String? {
+            val simulation = Simulation(seed, fault)
+            val failure = runCatching { simulation.run() }.exceptionOrNull()
+            onCounts(simulation.oracle.counts)
+            if (failure == null) return null
             val lines = ArrayDeque<String>()
             runCatching {
                 Simulation(seed, fault) {
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationMain.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationMain.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.consensus
 
+import java.util.concurrent.ConcurrentSkipListMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.concurrent.thread
 import kotlin.system.exitProcess
@@ -13,13 +14,14 @@
     val fault = arguments.getOrNull(3)?.let(PlantedFault::valueOf) ?: PlantedFault.NONE
     val next = AtomicLong(first)
     val failures = AtomicLong()
+    val totals = ConcurrentSkipListMap<String, Long>()
     val start = TimeSource.Monotonic.markNow()
     List(threads) {
         thread {
             while (true) {
                 val seed = next.getAndIncrement()
                 if (seed >= first + count) break
-                val failure = Simulation.check(seed, fault) ?: continue
+                val failure = Simulation.check(seed, fault) { add(totals, it) } ?: continue
                 if (failures.incrementAndGet() <= 3) println(failure) else println("seed=$seed failed")
             }
         }
@@ -27,5 +29,10 @@
     println(
         "seeds=$first..${first + count - 1} fault=$fault failures=$failures seconds=${start.elapsedNow().inWholeSeconds}",
     )
+    println("totals=$totals")
     if (failures.get() > 0) exitProcess(1)
 }
+
+private fun add(totals: ConcurrentSkipListMap<String, Long>, counts: Map<String, Long>) {
+    counts.forEach { (what, count) -> totals.merge(what, count, Long::plus) }
+}
