Foresee staleness from remaining time and expected weights

Cause: one cutoff at the bound computes tokens of samples that can't be delivered, and ignores what a trainer prefers. Change: ForesightStaleness decides before start and while running from the expected staleness at delivery. The preference scales the time estimates and weighs the wait for near weights. The bound at delivery holds at any preference. Measured: tests see other decisions at preference 0 and 1 before start and while running. Conclusion: a step never waits for weights that depend on it, as none are expected then.

--- /dev/null
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/staleness/ForesightStalenessTest.kt
@@ -0,0 +1,110 @@
+package org.zinniahoist.policy.staleness
+
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.WeightVersion
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.seconds
+
+class ForesightStalenessTest {
+    private val policy = ForesightStaleness()
+
+    private fun outlook(
+        engine: Long,
+        remaining: Int,
+        untilNext: Int?,
+        preference: Double = 0.5,
+        total: Int = remaining,
+    ) = SampleOutlook(
+        trainerVersion = WeightVersion(10),
+        oldestVersion = WeightVersion(engine),
+        expectedRemaining = remaining.seconds,
+        expectedTotal = total.seconds,
+        untilNextWeights = untilNext?.seconds,
+        weightsInterval = 180.seconds,
+        terms = StalenessTerms(bound = 1, preference),
+    )
+
+    @Nested
+    inner class BeforeStart {
+        /** Guards against tokens that are computed although the sample can't be delivered. */
+        @Test
+        fun `waits when the sample would exceed the bound`() {
+            expectThat(policy.beforeStart(outlook(engine = 8, remaining = 10, untilNext = null)))
+                .isEqualTo(StartDecision.WAIT_FOR_WEIGHTS)
+            expectThat(policy.beforeStart(outlook(engine = 9, remaining = 100, untilNext = 50)))
+                .isEqualTo(StartDecision.WAIT_FOR_WEIGHTS)
+            expectThat(policy.beforeStart(outlook(engine = 9, remaining = 30, untilNext = 50)))
+                .isEqualTo(StartDecision.START)
+        }
+
+        /** Guards against a preference that operators set without effect. */
+        @Test
+        fun `waits for near weights only if staleness weighs enough`() {
+            val decisions = listOf(0.0, 0.2, 0.8, 1.0).map {
+                policy.beforeStart(outlook(engine = 10, remaining = 100, untilNext = 60, preference = it))
+            }
+
+            expectThat(decisions).isEqualTo(
+                listOf(
+                    StartDecision.START,
+                    StartDecision.START,
+                    StartDecision.WAIT_FOR_WEIGHTS,
+                    StartDecision.WAIT_FOR_WEIGHTS,
+                ),
+            )
+        }
+
+        /** Guards against a step that waits for weights which depend on the step itself. */
+        @Test
+        fun `starts when no weights are expected`() {
+            expectThat(policy.beforeStart(outlook(engine = 9, remaining = 900, untilNext = null, preference = 1.0)))
+                .isEqualTo(StartDecision.START)
+        }
+    }
+
+    @Nested
+    inner class WhileRunning {
+        /** Guards against engine time for a sample that will be discarded at delivery. */
+        @Test
+        fun `abandons what a fresh start would deliver in time`() {
+            val late = outlook(engine = 9, remaining = 100, untilNext = 50, total = 40)
+
+            expectThat(policy.whileRunning(late)).isEqualTo(RunDecision.ABANDON)
+            expectThat(policy.whileRunning(late.copy(expectedRemaining = 40.seconds))).isEqualTo(RunDecision.CONTINUE)
+            expectThat(policy.whileRunning(late.copy(oldestVersion = WeightVersion(8)))).isEqualTo(RunDecision.ABANDON)
+        }
+
+        /** Guards against abandoned samples whose repeat would be too old as well. */
+        @Test
+        fun `continues when a fresh start would be no better`() {
+            val hopeless = outlook(engine = 9, remaining = 100, untilNext = 50, total = 400)
+
+            expectThat(policy.whileRunning(hopeless)).isEqualTo(RunDecision.CONTINUE)
+        }
+
+        @Test
+        fun `gives up earlier the more staleness weighs`() {
+            val near = outlook(engine = 9, remaining = 52, untilNext = 50, total = 40)
+
+            expectThat(policy.whileRunning(near.copy(terms = StalenessTerms(1, 0.0)))).isEqualTo(RunDecision.CONTINUE)
+            expectThat(policy.whileRunning(near.copy(terms = StalenessTerms(1, 1.0)))).isEqualTo(RunDecision.ABANDON)
+        }
+    }
+
+    @Nested
+    inner class AtDelivery {
+        /** Guards against a sample that was fresh when it finished and is over the bound when handed over. */
+        @Test
+        fun `holds the bound at any preference`() {
+            for (preference in listOf(0.0, 1.0)) {
+                val terms = StalenessTerms(bound = 2, preference)
+                expectThat(policy.atDelivery(WeightVersion(8), WeightVersion(10), terms))
+                    .isEqualTo(DeliveryDecision.DELIVER)
+                expectThat(policy.atDelivery(WeightVersion(7), WeightVersion(10), terms))
+                    .isEqualTo(DeliveryDecision.DRAFT_AGAIN)
+            }
+        }
+    }
+}
