--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
@@ -11,6 +11,9 @@
     /** Attempts up to which trainers may fill the upstream. */
     public val trainingLimit: Int
 
+    /** Attempts without a first token from which trainers wait. */
+    public val startingLimit: Int
+
     /** Records [tokens] that the upstream produced for all its attempts while it ran [running] of them. */
     public fun onTokens(tokens: Int, running: Int, now: Moment)
 
@@ -22,6 +25,8 @@
 public class FixedConcurrencyLimiter(override val limit: Int = 32) : ConcurrencyLimiter {
     override val trainingLimit: Int get() = limit
 
+    override val startingLimit: Int get() = Int.MAX_VALUE
+
     override fun onTokens(tokens: Int, running: Int, now: Moment): Unit = Unit
 
     override fun onLiveFirstToken(elapsed: Duration, now: Moment): Unit = Unit
--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/PaceConcurrencyLimiter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/PaceConcurrencyLimiter.kt
@@ -12,6 +12,7 @@
  *
  * @property fullness share of the engine's greatest token rate that the limit aims at.
  * @property liveFirstTokenTarget time to the first token of a live attempt that is held.
+ * @property startingLimit attempts without a first token from which trainers wait.
  * @property window time between two changes of the limit.
  */
 public data class LimiterSettings(
@@ -20,6 +21,7 @@
     public val maximum: Int = 256,
     public val fullness: Double = 0.9,
     public val liveFirstTokenTarget: Duration = 500.milliseconds,
+    public val startingLimit: Int = 2,
     public val window: Duration = 1.seconds,
 )
 
@@ -45,6 +47,8 @@
     override val trainingLimit: Int
         get() = (limit - ceil(limit * reserveShare).toInt()).coerceAtLeast(1)
 
+    override val startingLimit: Int get() = settings.startingLimit
+
     override fun onTokens(tokens: Int, running: Int, now: Moment) {
         val start = windowStart ?: now.also { windowStart = it }
         windowTokens += tokens
