Implement the links on Ktor sockets

The wire module declared links but nothing opened them. Links now exchange hellos with a protocol version, send heartbeats every 500 ms, close after 2.5 s without a frame and hold at most 256 frames for sending. A damaged, oversized or unknown frame closes its own link only.

--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -0,0 +1,37 @@
+package org.zinniahoist.wire
+
+import org.zinniahoist.model.Revision
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Times and sizes of links. */
+public data class LinkLimits(
+    public val heartbeatInterval: Duration = 500.milliseconds,
+    /** Time without a frame after which a link is closed. */
+    public val silenceLimit: Duration = 2_500.milliseconds,
+    /** Time in which a connection must be open and both sides must have said hello. */
+    public val openTimeout: Duration = 2.seconds,
+    /** Time in which queued frames and the goodbye must be written when a link is closed. */
+    public val closeTimeout: Duration = 1.seconds,
+    /** Frames that wait for sending on one link. */
+    public val sendQueueFrames: Int = 256,
+    public val maximumFrameBytes: Int = MAXIMUM_FRAME_BYTES,
+    public val firstBackoff: Duration = 50.milliseconds,
+    public val maximumBackoff: Duration = 2.seconds,
+) {
+    public companion object {
+        /** 4 MiB hold the largest accepted request body with its envelope. */
+        public const val MAXIMUM_FRAME_BYTES: Int = 4 * 1_024 * 1_024
+
+        /** Version of the messages. A link between different versions is closed. */
+        public const val PROTOCOL_VERSION: Int = 1
+    }
+}
+
+/** The part of a heartbeat that the daemon supplies. */
+public data class HeartbeatContent(
+    public val draining: Boolean = false,
+    public val settingsRevision: Revision = Revision.NONE,
+    public val load: LoadReport? = null,
+)
--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -0,0 +1,227 @@
+package org.zinniahoist.wire
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
+import org.zinniahoist.model.Moment
+import java.io.IOException
+
+/** What both ends of a link need. */
+internal class LinkEnd(
+    val hello: LinkMessage.Hello,
+    val handler: LinkHandler,
+    val heartbeat: () -> HeartbeatContent,
+    val clock: () -> Moment,
+    val limits: LinkLimits,
+)
+
+/** One open link, from hello to its end. */
+internal class LinkSession(
+    private val frames: FrameChannel,
+    private val end: LinkEnd,
+) : LinkConnection {
+    private val limits = end.limits
+    private val queue = Channel<ByteArray>(limits.sendQueueFrames)
+
+    // Heartbeats have their own place, as a full queue must not delay the draining flag.
+    private val heartbeats = Channel<ByteArray>(Channel.CONFLATED)
+    private val sent = SentHeartbeats()
+    private val closed = CompletableDeferred<LinkCloseCause>()
+
+    @Volatile
+    private var goodbye: String? = null
+
+    @Volatile
+    private var lastFrame: Moment = end.clock()
+
+    /** Set while the handler works on a message: a peer is not silent while nothing is read from it. */
+    @Volatile
+    private var handling = false
+
+    override lateinit var peer: LinkMessage.Hello
+        private set
+
+    @Volatile
+    override var lastHeartbeatReceived: Long = -1
+        private set
+
+    override fun heartbeatSentAt(sequence: Long): Moment? = sent[sequence]
+
+    override suspend fun send(message: Message): Boolean = try {
+        queue.send(encode(message))
+        true
+    } catch (_: ClosedSendChannelException) {
+        false
+    }
+
+    override fun offer(message: Message): Boolean = queue.trySend(encode(message)).isSuccess
+
+    override fun close(reason: String) {
+        if (goodbye == null) goodbye = reason
+        queue.close()
+    }
+
+    /** Exchanges hellos and serves the link until it ends. Returns whether it was open. */
+    suspend fun run(): Boolean {
+        val refusal = withTimeoutOrNull(limits.openTimeout) { greet() ?: OPEN } ?: "no hello in time"
+        if (refusal != OPEN) {
+            logger.warn { "event=link-refused detail=\"$refusal\"" }
+            frames.close()
+            return false
+        }
+        end.handler.onOpen(this)
+        var cause: LinkCloseCause = LinkCloseCause.Local
+        try {
+            cause = serve()
+        } finally {
+            queue.close()
+            frames.close()
+            logger.info { "event=link-closed peer=${peer.instance} cause=\"$cause\"" }
+            end.handler.onClosed(this, cause)
+        }
+        return true
+    }
+
+    private suspend fun greet(): String? = try {
+        frames.write(encode(end.hello))
+        frames.flush()
+        val first = frames.read()
+        lastFrame = end.clock()
+        when {
+            first !is LinkMessage.Hello -> "first message is no hello"
+            first.protocolVersion != end.hello.protocolVersion -> refuseVersion(first)
+            else -> null.also { peer = first }
+        }
+    } catch (fault: IOException) {
+        fault.message ?: "connection lost"
+    }
+
+    private suspend fun refuseVersion(hello: LinkMessage.Hello): String {
+        val detail = "protocol version ${hello.protocolVersion} is not ${end.hello.protocolVersion}"
+        frames.write(encode(LinkMessage.Goodbye(detail)))
+        frames.flush()
+        return detail
+    }
+
+    private suspend fun serve(): LinkCloseCause = coroutineScope {
+        val loops = listOf(
+            loop { write() },
+            loop { read() },
+            launch { watch() },
+        )
+        val cause = closed.await()
+        queue.close()
+        frames.close()
+        loops.forEach { it.cancelAndJoin() }
+        cause
+    }
+
+    private fun kotlinx.coroutines.CoroutineScope.loop(body: suspend () -> LinkCloseCause): Job = launch {
+        closed.complete(
+            try {
+                body()
+            } catch (cancelled: CancellationException) {
+                if (!isActive) throw cancelled
+                LinkCloseCause.ConnectionLost(cancelled.message.orEmpty())
+            } catch (fault: FrameException) {
+                LinkCloseCause.ProtocolError(fault.message.orEmpty())
+            } catch (fault: IOException) {
+                LinkCloseCause.ConnectionLost(fault.message.orEmpty())
+            } catch (fault: Exception) {
+                logger.error(fault) { "event=link-handler-failed peer=${peer.instance}" }
+                LinkCloseCause.ProtocolError("handler failed: ${fault.message}")
+            },
+        )
+    }
+
+    private suspend fun write(): LinkCloseCause {
+        while (true) {
+            val frame = heartbeats.tryReceive().getOrNull() ?: queue.tryReceive().getOrNull() ?: nextFrame() ?: break
+            frames.write(frame)
+        }
+        withTimeoutOrNull(limits.closeTimeout) {
+            frames.write(encode(LinkMessage.Goodbye(goodbye ?: "closed")))
+            frames.flush()
+        }
+        return LinkCloseCause.Local
+    }
+
+    private suspend fun nextFrame(): ByteArray? {
+        frames.flush()
+        return select {
+            heartbeats.onReceive { it }
+            queue.onReceiveCatching { it.getOrNull() }
+        }
+    }
+
+    private suspend fun read(): LinkCloseCause {
+        while (true) {
+            val message = frames.read()
+            lastFrame = end.clock()
+            if (message is LinkMessage.Goodbye) return LinkCloseCause.Goodbye(message.reason)
+            if (message is LinkMessage.Hello) throw FrameException("second hello")
+            if (message is LinkMessage.Heartbeat) lastHeartbeatReceived = message.sequence
+            handling = true
+            end.handler.onMessage(this, message)
+            lastFrame = end.clock()
+            handling = false
+        }
+    }
+
+    private suspend fun watch() {
+        var nextHeartbeat = end.clock()
+        var sequence = 0L
+        var closingSince: Moment? = null
+        while (true) {
+            val now = end.clock()
+            if (now >= nextHeartbeat) {
+                sendHeartbeat(sequence++, now)
+                nextHeartbeat = now + limits.heartbeatInterval
+            }
+            if (goodbye != null) closingSince = closingSince ?: now
+            if (closingSince != null && now - closingSince >= limits.closeTimeout) {
+                closed.complete(LinkCloseCause.Local)
+            }
+            if (!handling && now - lastFrame >= limits.silenceLimit) closed.complete(LinkCloseCause.Silent)
+            delay(CHECK_MILLISECONDS)
+        }
+    }
+
+    private fun sendHeartbeat(sequence: Long, now: Moment) {
+        val content = end.heartbeat()
+        sent.add(sequence, now)
+        heartbeats.trySend(
+            encode(
+                LinkMessage.Heartbeat(
+                    sequence,
+                    lastHeartbeatReceived,
+                    content.draining,
+                    content.settingsRevision,
+                    content.load,
+                ),
+            ),
+        )
+    }
+
+    private fun encode(message: Message): ByteArray = FrameCodec.encode(message).also {
+        require(it.size <= limits.maximumFrameBytes) { "message of ${it.size} bytes exceeds the frame limit" }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        const val OPEN = ""
+
+        /** A silent link is noticed within the silence limit and this time. */
+        const val CHECK_MILLISECONDS = 50L
+    }
+}
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/FrameCodecTest.kt
@@ -0,0 +1,64 @@
+package org.zinniahoist.wire
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.AttemptIdentifier
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.Revision
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import kotlin.random.Random
+
+class FrameCodecTest {
+    private val samples = listOf(
+        LinkMessage.Heartbeat(7, 3, true, Revision(9), LoadReport(running = 2)),
+        LinkMessage.Goodbye("done"),
+        AttemptMessage.AttemptChunk(AttemptIdentifier("a"), 3, byteArrayOf(1, 2, 3), 1),
+        AttemptMessage.StartAttempt(
+            AttemptIdentifier("a"),
+            RequestIdentifier("r"),
+            1,
+            1_000,
+            RequestOrigin.Live(org.zinniahoist.model.CallerName("c")),
+            UpstreamCall("POST", "/v1/completions", "application/json", "{}".toByteArray()),
+            5,
+        ),
+    )
+
+    @Test
+    fun `a message survives encoding`() {
+        val message = samples.first()
+        expectThat(FrameCodec.decode(FrameCodec.encode(message))).isEqualTo(DecodedFrame.Whole(message))
+    }
+
+    @Test
+    fun `every truncation of a frame is damage and not another message`() {
+        samples.map(FrameCodec::encode).forEach { bytes ->
+            bytes.indices.forEach { length ->
+                expectThat(FrameCodec.decode(bytes.copyOf(length))).isA<DecodedFrame.Damaged>()
+            }
+        }
+    }
+
+    // Guards against a decoder that ends the process on hostile bytes, by an error or by reserving memory.
+    @Test
+    fun `changed and random bytes decode or are damage`() {
+        val random = Random(20_261_204)
+        var damaged = 0
+        repeat(ROUNDS) { round ->
+            val bytes = if (round % 2 == 0) mutated(random) else random.nextBytes(random.nextInt(1, 64))
+            if (FrameCodec.decode(bytes) is DecodedFrame.Damaged) damaged += 1
+        }
+        expectThat(damaged > ROUNDS / 2).isEqualTo(true)
+    }
+
+    private fun mutated(random: Random): ByteArray {
+        val bytes = FrameCodec.encode(samples.random(random))
+        repeat(random.nextInt(1, 4)) { bytes[random.nextInt(bytes.size)] = random.nextInt().toByte() }
+        return bytes
+    }
+
+    private companion object {
+        const val ROUNDS = 50_000
+    }
+}
