--- /dev/null
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/EntryHttp.kt
@@ -0,0 +1,81 @@
+package org.zinniahoist.daemon.entry
+
+import com.linecorp.armeria.common.ContentTooLargeException
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.zinniahoist.daemon.configuration.SettingsInForce
+import org.zinniahoist.model.FailureReason
+import org.zinniahoist.model.RefusalReason
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.Verdict
+import java.util.UUID
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.seconds
+
+/** Receives the HTTP requests of an entry and passes them to their services. */
+internal class EntryHttp(
+    private val scope: CoroutineScope,
+    private val inForce: SettingsInForce,
+    private val concurrency: Int,
+    private val live: LiveService,
+    private val trainers: TrainerService,
+) : HttpService {
+    private val inFlight = AtomicInteger()
+
+    @Volatile
+    var draining: Boolean = false
+
+    /** Requests that have no answer yet. */
+    val requestsInFlight: Int get() = inFlight.get()
+
+    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        val response = HttpResponse.streaming()
+        val exchange = Exchange(context, request, response, RequestIdentifier(UUID.randomUUID().toString()))
+        val count = inFlight.incrementAndGet()
+        val job = scope.launch { answer(exchange, count) }
+        response.whenComplete().handle { _, cause -> if (cause != null) job.cancel() }
+        job.invokeOnCompletion {
+            inFlight.decrementAndGet()
+            if (response.isOpen) response.close()
+        }
+        return response
+    }
+
+    private suspend fun answer(exchange: Exchange, count: Int) = try {
+        dispatch(exchange, count)
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (_: ContentTooLargeException) {
+        exchange.refuse(RefusalReason.BODY_TOO_LARGE)
+    } catch (fault: Exception) {
+        logger.error(fault) { "event=request-failed request=${exchange.request}" }
+        exchange.respond(Problem(Verdict.MayHaveRun(FailureReason.OUTCOME_UNKNOWN, "internal error"), exchange.request))
+    }
+
+    private suspend fun dispatch(exchange: Exchange, count: Int) {
+        val path = exchange.path
+        val forTrainer = path.startsWith(TrainerService.PREFIX)
+        val known = forTrainer || path in LIVE_PATHS || path.startsWith(LiveService.SERVICES)
+        if (!known) return exchange.refuse(RefusalReason.UNKNOWN_ROUTE)
+        // A draining holder still hands over what it has drafted.
+        val handsOver = forTrainer && !path.contains("/steps/")
+        if (draining && !handsOver) return exchange.refuse(RefusalReason.DRAINING, retryAfter = 1.seconds)
+        val settings = inForce.settings
+            ?: return exchange.refuse(RefusalReason.CONTROL_UNAVAILABLE, "no settings in force", 1.seconds)
+        if (count > concurrency) {
+            return exchange.refuse(RefusalReason.OVERLOADED, retryAfter = settings.admission.retryAfter)
+        }
+        if (forTrainer) trainers.handle(exchange, settings) else live.handle(exchange, settings)
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        val LIVE_PATHS = setOf(LiveService.COMPLETIONS, LiveService.CHAT, "/v1/models")
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SampleOutlooks.kt
@@ -0,0 +1,51 @@
+package org.zinniahoist.daemon.entry
+
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.TrainingContract
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.staleness.SampleOutlook
+import org.zinniahoist.policy.staleness.StalenessTerms
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/** Tracks a trainer's versions and states what is expected of its samples. */
+internal class SampleOutlooks(contract: TrainingContract) {
+    val terms = StalenessTerms(contract.stalenessBound, contract.stalenessPreference)
+    private var version: WeightVersion? = null
+    private var versionSince: Moment? = null
+    private var interval: Duration = DEFAULT_INTERVAL
+
+    fun onVersion(announced: WeightVersion, now: Moment) {
+        val known = version
+        if (known != null && announced <= known) return
+        val since = versionSince
+        if (known != null && since != null) interval = (now - since) / (announced.number - known.number).toDouble()
+        versionSince = now
+        version = announced
+    }
+
+    /** Returns the outlook of a sample whose oldest version is [oldest], or null before the first version. */
+    fun of(oldest: WeightVersion, remainingTokens: Double, now: Moment): SampleOutlook? {
+        val current = version ?: return null
+        val since = versionSince ?: return null
+        val remaining = (remainingTokens.coerceAtLeast(0.0) / EXPECTED_PACE).seconds
+        return SampleOutlook(
+            trainerVersion = current,
+            oldestVersion = oldest,
+            expectedRemaining = remaining,
+            expectedTotal = remaining,
+            untilNextWeights = (interval - (now - since)).takeIf { it.isPositive() },
+            weightsInterval = interval,
+            terms = terms,
+        )
+    }
+
+    private companion object {
+        /** Weights change every few minutes until the trainer's own pace is known. */
+        val DEFAULT_INTERVAL = 3.minutes
+
+        /** Tokens per second of one attempt; assumed, not measured. */
+        const val EXPECTED_PACE = 50.0
+    }
+}
