--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/AnswerSinks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/AnswerSinks.kt
@@ -12,9 +12,17 @@
     override val canContinue: Boolean get() = true
     val bytes: ByteArray get() = body.toByteArray()
 
-    override suspend fun onChunk(chunk: AttemptMessage.AttemptChunk) = body.writeBytes(chunk.bytes)
+    override suspend fun onChunk(chunk: AttemptMessage.AttemptChunk) {
+        check(body.size() + chunk.bytes.size <= MAXIMUM_BYTES) { "the answer exceeds $MAXIMUM_BYTES bytes" }
+        body.writeBytes(chunk.bytes)
+    }
 
     override fun onAttemptFailed() = body.reset()
+
+    private companion object {
+        /** 64 MiB: an answer that is not streamed is held in memory until it is whole. */
+        const val MAXIMUM_BYTES = 64 * 1_024 * 1_024
+    }
 }
 
 /** Passes events on to the caller as they come. */
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Attempt.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Attempt.kt
@@ -65,6 +65,8 @@
         link.offer(AttemptMessage.CancelAttempt(identifier))
     }
 
+    // The end of the link and the sender of the start can both end the attempt.
+    @Synchronized
     private fun finish(event: AttemptEvent.Ended) {
         if (ended != null) return
         ended = event
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
@@ -62,7 +62,7 @@
             settings.roles,
         )
     private val links = SidecarLinks(policies.router, policies.leaving, events, clock, random)
-    private val runner = RequestRunner(links, policies.retry, events, clock, random)
+    private val runner = RequestRunner(links, policies.retry, policies.budget, events, clock, random)
     private val ledger = LedgerClient(control)
     private val peers = PeerCaller()
     private val tools = DraftTools(ledger, runner, policies, events, clock, links)
@@ -95,7 +95,8 @@
 
     /** Opens the links and the HTTP server. */
     public suspend fun start() {
-        policies.leaving.let { synchronized(it) { it.onPlatformList(settings.sidecars.keys, emptySet(), clock()) } }
+        // Until the platform's list is known, all sidecars of the settings count as live.
+        onPlatformList(settings.sidecars.keys, emptySet())
         if (listenForPeers) listen()
         settings.sidecars.values.forEach { open(it, links) }
         settings.entries.filterKeys { it != settings.name }.values.forEach { open(it, peers) }
@@ -108,8 +109,10 @@
     public fun addPeer(endpoint: Endpoint): Unit = open(endpoint, peers)
 
     /** Records the platform's list of instances, which can lag. */
-    public fun onPlatformList(live: Set<InstanceName>, leaving: Set<InstanceName>): Unit =
+    public fun onPlatformList(live: Set<InstanceName>, leaving: Set<InstanceName>) {
         synchronized(policies.leaving) { policies.leaving.onPlatformList(live, leaving, clock()) }
+        links.refresh()
+    }
 
     /** Stops gracefully: readiness fails, requests in flight finish, leases are given back and links close. */
     public suspend fun drain() {
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/EntryPolicies.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/EntryPolicies.kt
@@ -18,7 +18,7 @@
 import org.zinniahoist.policy.staleness.StalenessPolicy
 
 /**
- * The decision objects of an entry. The entry calls each under its own lock.
+ * The decision objects of an entry. The entry calls each under its own lock, but for [staleness], which has no state.
  *
  * @property router makes the router of one model or plain service.
  * @property budget the retry budget that [retry] draws on; the entry reports each request to it.
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/LiveService.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/LiveService.kt
@@ -1,20 +1,15 @@
 package org.zinniahoist.daemon.entry
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.addJsonObject
-import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.contentOrNull
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import org.zinniahoist.daemon.control.ledgerGroup
 import org.zinniahoist.model.Contract
-import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RefusalReason
 import org.zinniahoist.model.ServiceName
@@ -70,7 +65,6 @@
     }
 
     private suspend fun run(exchange: Exchange, prepared: Prepared) {
-        synchronized(policies.budget) { policies.budget.onRequest() }
         if (prepared.streams) {
             val plan = prepared.plan
             val answer = StreamedAnswer(exchange, plan.idempotent && plan.completion != null)
@@ -93,24 +87,14 @@
         bytes: ByteArray,
     ): Either<Verdict.NotRun, Prepared> {
         if (exchange.method != "POST") return refusal(RefusalReason.UNKNOWN_ROUTE, "use POST")
-        val body = parseObject(bytes) ?: return malformed("the body is no JSON object")
-        val model = (body["model"] as? JsonPrimitive)?.takeIf { it.isString }?.content
-            ?: return malformed("model is missing or no string")
-        val stream = body["stream"] ?: JsonPrimitive(false)
-        val streams = (stream as? JsonPrimitive)?.takeIf { !it.isString }?.booleanOrNull
-            ?: return malformed("stream is no boolean")
-        val wanted = if (exchange.path == CHAT) "messages" else "prompt"
-        val prompt = body[wanted] ?: return malformed("$wanted is missing")
-        if ("resume_tokens" in body) return malformed("resume_tokens is set by the service")
-        val name = ModelName(model)
+        val promptKey = if (exchange.path == CHAT) "messages" else "prompt"
+        val body = CompletionBody.read(bytes, promptKey).getOrElse { return malformed(it) }
+        val name = body.model
         if (name !in settings.models && name !in links.models) return refusal(RefusalReason.UNKNOWN_ROUTE, "model")
         val call = UpstreamCall("POST", exchange.path, JSON_TYPE, bytes)
-        val prefix = RequestPlan.prefixHash(
-            (prompt as? JsonPrimitive)?.contentOrNull ?: prompt.toString(),
-            settings.routing.prefixLength,
-        )
+        val prefix = RequestPlan.prefixHash(body.prompt, settings.routing.prefixLength)
         return plan(exchange, settings, contract, RouteTarget.Model(name), call) { common ->
-            Prepared(common.copyWith(body.takeIf { streams }, prefix), streams)
+            Prepared(common.copyWith(body.content.takeIf { body.streams }, prefix), body.streams)
         }
     }
 
@@ -192,17 +176,5 @@
         const val JSON_TYPE = "application/json"
         private val KEY = Regex("[\\x21-\\x7e]{1,255}")
         private val TRACE_PARENT = Regex("[0-9a-f]{2}-[0-9a-f]{32}-[0-9a-f]{16}-[0-9a-f]{2}")
-
-        /** Parses [bytes] as a JSON object, or returns null if they are none. */
-        fun parseObject(bytes: ByteArray): JsonObject? = try {
-            Json.parseToJsonElement(bytes.decodeToString(throwOnInvalidSequence = true)) as? JsonObject
-        } catch (_: IllegalArgumentException) {
-            null
-        } catch (_: java.nio.charset.CharacterCodingException) {
-            null
-        } catch (_: StackOverflowError) {
-            // The parser calls itself for each level of nesting.
-            null
-        }
     }
 }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/RequestRunner.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/RequestRunner.kt
@@ -11,6 +11,7 @@
 import org.zinniahoist.model.RefusalReason
 import org.zinniahoist.model.Verdict
 import org.zinniahoist.policy.retry.EndedAttempt
+import org.zinniahoist.policy.retry.RetryBudget
 import org.zinniahoist.policy.retry.RetryDecision
 import org.zinniahoist.policy.retry.RetryPolicy
 import org.zinniahoist.policy.routing.AttemptOutcome
@@ -37,12 +38,14 @@
 internal class RequestRunner(
     private val links: SidecarLinks,
     private val retry: RetryPolicy,
+    private val budget: RetryBudget,
     private val events: EventRecorder,
     private val clock: () -> Moment,
     private val random: Random,
 ) {
     /** Runs [plan] until an attempt completes or no other one is allowed. */
     suspend fun run(plan: RequestPlan, sink: AnswerSink): AttemptEvent.Ended {
+        synchronized(budget) { budget.onRequest() }
         val tried = LinkedHashSet<InstanceName>()
         var attempts = 0
         while (true) {
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SampleDraft.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SampleDraft.kt
@@ -61,7 +61,7 @@
         }
 
         private fun textOf(event: ByteArray): String? {
-            val choices = LiveService.parseObject(event)?.get("choices") as? JsonArray ?: return null
+            val choices = CompletionBody.parseObject(event)?.get("choices") as? JsonArray ?: return null
             val choice = choices.firstOrNull() ?: return ""
             val text = (choice as? JsonObject)?.get("text") ?: return null
             return (text as? JsonPrimitive)?.takeIf { it.isString }?.content
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SidecarLinks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SidecarLinks.kt
@@ -42,7 +42,6 @@
 
     fun route(target: RouteTarget, request: RoutingRequest): InstanceName? {
         val router = routers[target] ?: return null
-        refresh(target, router)
         return synchronized(router) {
             val now = clock()
             val first = router.route(request, now, random)
@@ -78,6 +77,12 @@
         routers[target]?.let { synchronized(it) { it.onEnd(instance, outcome, clock()) } }
     }
 
+    /** Asks again which sidecars may get work. Heartbeats do so for their own sidecar. */
+    fun refresh() {
+        val now = clock()
+        sidecars.values.forEach { sidecar -> routers[sidecar.target]?.let { refresh(sidecar, it, now) } }
+    }
+
     override fun onOpen(link: LinkConnection) {
         val upstream = link.peer.upstream ?: return link.close("no upstream")
         val target = RouteTarget.of(upstream)
@@ -130,11 +135,6 @@
         routers[sidecar.target]?.let { locked(it) { onReport(sidecar.name, digest, clock()) } }
     }
 
-    private fun refresh(target: RouteTarget, router: Router) {
-        val now = clock()
-        sidecars.values.forEach { if (it.target == target) refresh(it, router, now) }
-    }
-
     private fun refresh(sidecar: Sidecar, router: Router, now: Moment) {
         val accepts = locked(leaving) { acceptsWork(sidecar.name, now) }
         val available = accepts && sidecar.heard && !sidecar.draining && sidecar.load.available
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerHoldings.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerHoldings.kt
@@ -47,8 +47,9 @@
     fun start() {
         scope.launch {
             while (true) {
-                held.keys.forEach { trainer -> contractOf(trainer)?.let { acquire(it) } }
-                if (!draining) adoptOpenTrainers()
+                // Each in its own coroutine: a slow group must not let the leases of the others end.
+                held.keys.forEach { trainer -> contractOf(trainer)?.let { launch { acquire(it) } } }
+                if (!draining) launch { adoptOpenTrainers() }
                 delay(RENEWAL_INTERVAL)
             }
         }
