--- /dev/null
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -0,0 +1,82 @@
+package org.zinniahoist.daemon.sidecar
+
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.update
+import org.zinniahoist.model.AttemptIdentifier
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.Role
+import org.zinniahoist.wire.AttemptMessage.AttemptChunk
+import org.zinniahoist.wire.AttemptMessage.AttemptEnd
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.Message
+
+/** The entry's end of a link, in memory. */
+internal class FakeLink(
+    private val sidecar: Sidecar,
+    clock: () -> Moment,
+) : LinkConnection {
+    private val received = MutableStateFlow<List<Message>>(emptyList())
+    private val heartbeats = mapOf(HEARTBEAT to clock())
+
+    @Volatile
+    var closedWith: String? = null
+        private set
+
+    override val peer = LinkMessage.Hello(
+        1,
+        InstanceName("entry"),
+        Incarnation(1),
+        FailureDomain("a", Region("r")),
+        setOf(Role.ENTRY),
+    )
+    override val lastHeartbeatReceived = 0L
+
+    override fun heartbeatSentAt(sequence: Long): Moment? = heartbeats[sequence]
+
+    override suspend fun send(message: Message): Boolean = offer(message)
+
+    override fun offer(message: Message): Boolean {
+        if (closedWith != null) return false
+        received.update { it + message }
+        return true
+    }
+
+    override fun close(reason: String) {
+        closedWith = reason
+    }
+
+    fun chunks(attempt: String): List<AttemptChunk> = chunksIn(received.value, attempt)
+
+    /** Waits until [count] chunks of [attempt] are there. */
+    suspend fun awaitChunks(attempt: String, count: Int) {
+        received.first { chunksIn(it, attempt).size >= count }
+    }
+
+    suspend fun end(attempt: String): AttemptEnd = received
+        .first { messages -> messages.any { it is AttemptEnd && it.attempt.value == attempt } }
+        .filterIsInstance<AttemptEnd>()
+        .single { it.attempt.value == attempt }
+
+    fun hasEnded(attempt: String): Boolean =
+        received.value.any { it is AttemptEnd && it.attempt == AttemptIdentifier(attempt) }
+
+    /** Breaks the link. */
+    fun lose() {
+        closedWith = "lost"
+        sidecar.onClosed(this, LinkCloseCause.Silent)
+    }
+
+    private fun chunksIn(messages: List<Message>, attempt: String) =
+        messages.filterIsInstance<AttemptChunk>().filter { it.attempt.value == attempt }
+
+    companion object {
+        const val HEARTBEAT = 7L
+    }
+}
