--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/AtMostOnceTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/AtMostOnceTest.kt
@@ -31,7 +31,7 @@
             val sidecars = listOf(sidecar(), sidecar())
             val links = sidecars.map(::link)
             sidecars.zip(links).forEach { (sidecar, link) -> sidecar.start(link, "a", terms("k")) }
-            control.await { commands -> commands.count { it is LedgerCommand.Claim } >= 2 }
+            SidecarScenario.awaitUntil { control.claims >= 2 || upstream.calls.value.size >= 2 }
             gate.complete(Unit)
 
             links.forEach { link ->
@@ -53,7 +53,7 @@
             val second = sidecar()
             val link = link(second)
             second.start(link, "b", terms("k"))
-            control.await { commands -> commands.count { it is LedgerCommand.Claim } >= 2 }
+            SidecarScenario.awaitUntil { control.claims >= 2 || link.hasEnded("b") }
             advanceUntilEnded(link, "b")
             expectThat(link.end("b").verdict).isEqualTo(Verdict.MayHaveRun(FailureReason.KEY_IN_PROGRESS))
             expectThat(upstream.calls.value).hasSize(1)
@@ -197,7 +197,7 @@
             }
             control.holdAnswers = true
             sidecar.start(link, "a", terms("k"))
-            claimed.await()
+            SidecarScenario.awaitUntil { claimed.isCompleted || link.hasEnded("a") }
             sidecar.cancel(link, "a")
             expectThat(link.end("a").verdict).isEqualTo(notRun(RefusalReason.CANCELLED))
             control.await { commands -> commands.any { it is LedgerCommand.Release } }
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeControl.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeControl.kt
@@ -23,6 +23,8 @@
     /** Commands that were applied, in order. */
     val applied = MutableStateFlow<List<LedgerCommand>>(emptyList())
 
+    val claims: Int get() = applied.value.count { it is LedgerCommand.Claim }
+
     /** Decides how a ledger command fares. */
     @Volatile
     var fault: (LedgerCommand) -> Fault = { Fault.NONE }
@@ -31,6 +33,10 @@
     @Volatile
     var holdAnswers = false
 
+    /** Whether queries find no majority. */
+    @Volatile
+    var holdQueries = false
+
     enum class Fault { NONE, UNAVAILABLE, ANSWER_LOST_AND_LATE }
 
     override suspend fun command(group: String, command: ByteArray, timeout: Duration): ControlResult {
@@ -47,8 +53,11 @@
         }
     }
 
-    override suspend fun query(group: String, query: ByteArray, timeout: Duration): ControlResult =
+    override suspend fun query(group: String, query: ByteArray, timeout: Duration): ControlResult = if (holdQueries) {
+        ControlResult.NotApplied("no majority")
+    } else {
         synchronized(this) { ControlResult.Answered(coordination.query(0, query)) }
+    }
 
     /** Commits the commands whose answers were lost. */
     fun commitLate() = synchronized(this) { delayed.toList().also { delayed.clear() } }.forEach(::applyToLedger)
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/SidecarScenario.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/SidecarScenario.kt
@@ -1,6 +1,9 @@
 package org.zinniahoist.daemon.sidecar
 
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.zinniahoist.daemon.configuration.SettingsInForce
 import org.zinniahoist.model.AttemptIdentifier
@@ -47,6 +50,7 @@
     suspend fun sidecar(
         policies: SidecarPolicies = SidecarPolicies(LocalCrashReports(INSTANCE)),
         settings: EffectiveSettings? = EffectiveSettings(),
+        awaitReady: Boolean = settings != null,
     ): Sidecar {
         val inForce = object : SettingsInForce {
             override val revision = Revision(1)
@@ -55,7 +59,7 @@
         val sidecar = Sidecar(daemonSettings(), inForce, control, policies, { _, _ -> }, clock, Random(1))
         sidecars += sidecar
         sidecar.start()
-        if (settings != null) awaitUntil { sidecar.isReady }
+        if (awaitReady) awaitUntil { sidecar.isReady }
         return sidecar
     }
 
@@ -118,6 +122,14 @@
     ),
 )
 
+/** Runs [block] while [sidecar] drains, and returns once the drain has ended. */
+internal suspend fun draining(sidecar: Sidecar, block: suspend () -> Unit): Unit = coroutineScope {
+    val drain = launch(Dispatchers.Default) { sidecar.drain() }
+    SidecarScenario.awaitUntil { sidecar.isDraining }
+    block()
+    drain.join()
+}
+
 internal suspend fun Sidecar.cancel(link: FakeLink, attempt: String) =
     onMessage(link, CancelAttempt(AttemptIdentifier(attempt)))
 
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/TestUpstream.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/TestUpstream.kt
@@ -68,6 +68,11 @@
         }
     }
 
+    /** Ends the process of the upstream and returns once its port is closed. */
+    fun stop() {
+        server.stop().join()
+    }
+
     suspend fun stream(index: Int = 0): HttpResponseWriter = streams.first { it.size > index }[index]
 
     suspend fun awaitCalls(count: Int) {
