--- /dev/null
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/DaemonPolicies.kt
@@ -0,0 +1,48 @@
+package org.zinniahoist.daemon
+
+import org.zinniahoist.daemon.entry.EntryPolicies
+import org.zinniahoist.daemon.sidecar.LocalCrashReports
+import org.zinniahoist.daemon.sidecar.SidecarPolicies
+import org.zinniahoist.policy.admission.FairShareQueue
+import org.zinniahoist.policy.admission.PaceConcurrencyLimiter
+import org.zinniahoist.policy.liveness.AnnouncementTracker
+import org.zinniahoist.policy.poison.CrashCountingRegistry
+import org.zinniahoist.policy.routing.EstimatedWaitRouter
+import org.zinniahoist.policy.sampling.LearntLengthEstimator
+import org.zinniahoist.policy.sampling.LongestFirstScheduler
+import org.zinniahoist.policy.staleness.ForesightStaleness
+import org.zinniahoist.settings.DaemonSettings
+
+/** Makes the decision objects of a daemon's roles. */
+public class DaemonPolicies(
+    internal val entry: () -> EntryPolicies,
+    internal val sidecar: () -> SidecarPolicies,
+) {
+    public companion object {
+        /** The policies that are chosen by measurement. */
+        public fun chosen(settings: DaemonSettings): DaemonPolicies = DaemonPolicies(
+            entry = {
+                EntryPolicies(
+                    router = { EstimatedWaitRouter(settings.failureDomain) },
+                    leaving = AnnouncementTracker(),
+                    staleness = ForesightStaleness(),
+                    lengths = ::LearntLengthEstimator,
+                    scheduler = ::LongestFirstScheduler,
+                )
+            },
+            sidecar = {
+                SidecarPolicies(
+                    crashReports = LocalCrashReports(settings.name, CrashCountingRegistry()),
+                    queue = FairShareQueue(),
+                    limiter = PaceConcurrencyLimiter(),
+                )
+            },
+        )
+
+        /** The plain baselines that the chosen policies are measured against. */
+        public fun baseline(settings: DaemonSettings): DaemonPolicies = DaemonPolicies(
+            entry = { EntryPolicies() },
+            sidecar = { SidecarPolicies(LocalCrashReports(settings.name)) },
+        )
+    }
+}
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/GroupName.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/GroupName.kt
@@ -7,8 +7,6 @@
     /** The group of settings, weight versions, orders and drains. */
     public const val SETTINGS: String = "settings"
 
-    private const val LEDGER_PREFIX = "ledger-"
-
     /** Returns the group of the ledgers of [region]. */
-    public fun ledger(region: Region): String = LEDGER_PREFIX + region.value
+    public fun ledger(region: Region): String = ledgerGroup(region)
 }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSchema.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSchema.kt
@@ -20,6 +20,8 @@
     internal val region = SettingKey("region", KeyType.Name, "Region of the failure domain.", required = true)
     internal val roles =
         SettingKey("roles", KeyType.NameSet, "Roles of the daemon: entry, sidecar, control.", required = true)
+    internal val branch =
+        SettingKey("branch", KeyType.Branch, "Branch of the settings tree that the daemon follows.", ROOT)
     internal val listenHost =
         SettingKey("listen-host", KeyType.HostName, "Address that HTTP and links listen on.", "127.0.0.1")
     internal val httpPort = SettingKey("http-port", PORT, "Port of HTTP; 0 takes a free port.", 8_080L)
@@ -128,7 +130,7 @@
             SectionSchema(
                 "instance",
                 "The instance and what its daemon does.",
-                listOf(name, failureDomain, region, roles, listenHost, httpPort, linkPort, dataFolder),
+                listOf(name, failureDomain, region, roles, branch, listenHost, httpPort, linkPort, dataFolder),
             ),
             SectionSchema(
                 "peers",
--- a/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSettings.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.settings
 
+import org.zinniahoist.model.BranchName
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.FailureDomain
 import org.zinniahoist.model.Instance
@@ -18,6 +19,8 @@
     public val name: InstanceName,
     public val failureDomain: FailureDomain,
     public val roles: Set<Role>,
+    /** Branch of the settings tree that the daemon follows. */
+    public val branch: BranchName = ROOT,
     public val listenHost: String = "127.0.0.1",
     public val httpPort: Int = 8_080,
     public val linkPort: Int = 7_080,
--- a/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSettingsReader.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/DaemonSettingsReader.kt
@@ -49,6 +49,7 @@
             name = InstanceName(required(DaemonSchema.name)),
             failureDomain = FailureDomain(required(DaemonSchema.failureDomain), Region(required(DaemonSchema.region))),
             roles = roles,
+            branch = required(DaemonSchema.branch),
             listenHost = required(DaemonSchema.listenHost),
             httpPort = required(DaemonSchema.httpPort).toInt(),
             linkPort = required(DaemonSchema.linkPort).toInt(),
--- a/settings/src/main/kotlin/org/zinniahoist/settings/KeyType.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/KeyType.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.settings
 
+import org.zinniahoist.model.BranchName
 import org.zinniahoist.model.Endpoint
 import kotlin.time.Duration
 
@@ -110,6 +111,17 @@
         override fun parse(text: String): String? = text.takeIf { form.matches(it) }
     }
 
+    /** A branch of the settings tree. */
+    public data object Branch : KeyType<BranchName> {
+        override val label: String get() = "branch"
+        override val unit: String? get() = null
+        override val allowed: String get() = BRANCH_FORM
+
+        override fun parse(text: String): BranchName? = BranchName(text).takeIf { it.isValid() }
+
+        override fun render(value: BranchName): String = value.value
+    }
+
     /** Names separated by commas; the order has no meaning. */
     public data object NameSet : KeyType<Set<String>> {
         override val label: String get() = "names"
