--- /dev/null
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
@@ -0,0 +1,82 @@
+package org.zinniahoist.experiment.quickstart
+
+import org.zinniahoist.daemon.control.ControlResult
+import org.zinniahoist.daemon.control.GroupName
+import org.zinniahoist.daemon.control.RemoteControlClient
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.settings.DeclaredTreeReader
+import org.zinniahoist.settings.OperatorName
+import org.zinniahoist.settings.SettingsTree
+import org.zinniahoist.settings.plan
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.coordination.CoordinationAnswer
+import org.zinniahoist.state.coordination.CoordinationCommand
+import org.zinniahoist.state.coordination.EditResult
+import org.zinniahoist.wire.ControlMessage
+import org.zinniahoist.wire.HeartbeatContent
+import org.zinniahoist.wire.LinkClient
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkHandler
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.Message
+import kotlin.random.Random
+
+/** Edits the settings tree and publishes versions over a link to the control replica. */
+internal class QuickstartOperator(control: Endpoint) :
+    LinkHandler,
+    AutoCloseable {
+    private val clock = { Moment(System.nanoTime()) }
+    private val client = RemoteControlClient(clock)
+    private val hello = LinkMessage.Hello(
+        LinkLimits.PROTOCOL_VERSION,
+        InstanceName("quickstart"),
+        Incarnation(System.nanoTime()),
+        FailureDomain("outside", Region("outside")),
+        emptySet(),
+    )
+    private val link = LinkClient(control, hello, this, { HeartbeatContent() }, clock, Random.Default)
+
+    init {
+        link.start()
+    }
+
+    suspend fun applyTree(text: String) {
+        val declared = DeclaredTreeReader.parse(mapOf("quickstart.ini" to text))
+            .fold({ faults -> error(faults.joinToString { it.message }) }, { it })
+        val edits = plan(SettingsTree.EMPTY, declared, OperatorName("quickstart"), "quickstart")
+            .fold({ errors -> error(errors.joinToString { it.message }) }, { it })
+        edits.forEach { planned ->
+            val answer = command(CoordinationCommand.Edit(planned.edit)) as CoordinationAnswer.Edited
+            check(answer.result is EditResult.Accepted) { "edit refused: ${answer.result}" }
+        }
+    }
+
+    suspend fun publish(version: Long) {
+        command(CoordinationCommand.PublishVersion(ModelName(QuickstartTree.MODEL), WeightVersion(version)))
+    }
+
+    override fun onOpen(link: LinkConnection): Unit = client.onOpen(link)
+
+    override suspend fun onMessage(link: LinkConnection, message: Message) {
+        if (message is ControlMessage.ControlReply) client.onReply(message)
+    }
+
+    override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = client.onClosed(link)
+
+    override fun close(): Unit = link.close()
+
+    private suspend fun command(command: CoordinationCommand): CoordinationAnswer {
+        val result = client.command(GroupName.SETTINGS, StateCodec.encode(command))
+        check(result is ControlResult.Answered) { "the settings group gave no answer: $result" }
+        return StateCodec.decode(result.content)
+    }
+}
