Start the quick start on ports outside the ephemeral range

Cause: an outgoing connection took a port that a daemon was about to bind. Change: ports between 20000 and 30000; the quick start waits until the tree is in force everywhere.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
@@ -21,6 +21,7 @@
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
 import org.zinniahoist.settings.DaemonSettings
 import org.zinniahoist.wire.HeartbeatContent
@@ -82,6 +83,9 @@
     public var linkEndpoint: Endpoint? = null
         private set
 
+    /** Revision of the settings that the daemon acts on. */
+    public val settingsRevision: Revision get() = follower.revision
+
     /** Whether the daemon takes work. */
     public val isReady: Boolean
         get() = !draining && follower.settings != null && (sidecar?.isReady ?: true) && (entry?.isReady ?: true)
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
@@ -11,6 +11,7 @@
 import org.zinniahoist.standin.engine.EngineConfiguration
 import org.zinniahoist.standin.engine.StandInEngine
 import org.zinniahoist.standin.service.StandInService
+import java.io.IOException
 import java.net.ServerSocket
 import java.net.URI
 import java.nio.file.Path
@@ -57,8 +58,10 @@
         )
         check(created is Either.Right) { "the consensus groups could not be created: $created" }
         files.forEach { (name, settings) -> daemons[name] = Daemon(settings, events(name)).also { it.start() } }
-        QuickstartOperator(linkEndpoints.getValue("control-1")).use { it.applyTree(QuickstartTree.text()) }
-        while (daemons.values.any { !it.isReady }) delay(READY_CHECK)
+        val revision = QuickstartOperator(linkEndpoints.getValue("control-1")).use {
+            it.applyTree(QuickstartTree.text())
+        }
+        while (daemons.values.any { !it.isReady || it.settingsRevision < revision }) delay(READY_CHECK)
     }
 
     /** Publishes a weight version, which control rolls out to the engines. */
@@ -122,9 +125,17 @@
         val STOP_ORDER = listOf("entry", "sampler", "orders", "control")
         val READY_CHECK = 20.milliseconds
 
-        fun freePorts(count: Int): List<Int> {
-            val sockets = List(count) { ServerSocket(0) }
-            return sockets.map { it.localPort }.also { sockets.forEach(ServerSocket::close) }
+        /** Ports below the range from which outgoing connections take theirs, so that none of these can be taken. */
+        val PORTS = 20_000..30_000
+
+        fun freePorts(count: Int): List<Int> =
+            PORTS.shuffled().asSequence().filter { port -> isFree(port) }.take(count).toList()
+
+        private fun isFree(port: Int): Boolean = try {
+            ServerSocket(port).close()
+            true
+        } catch (_: IOException) {
+            false
         }
     }
 }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
@@ -33,16 +33,23 @@
         }
         val hook = Thread { stop.set(true) }
         Runtime.getRuntime().addShutdownHook(hook)
-        val report = runBlocking {
-            cluster.start()
-            println("running: 1 control replica, 2 entries, 4 sidecars before 3 engines and 1 plain service")
-            val plan = QuickstartPlan(steps, groups, samples)
-            val input = QuickstartInput.read(Path.of(prompts), Path.of(requests))
-            QuickstartRun(cluster, plan, input, stop).run().also { cluster.drain() }
+        val report = try {
+            run(cluster, stop)
+        } catch (failure: Exception) {
+            System.err.println("quickstart: $failure")
+            exitProcess(2)
         }
         folder.toFile().deleteRecursively()
         println(report.render())
         if (!stop.get()) Runtime.getRuntime().removeShutdownHook(hook)
         exitProcess(if (report.brokenPromises.isEmpty()) 0 else 1)
     }
+
+    private fun run(cluster: QuickstartCluster, stop: AtomicBoolean): QuickstartReport = runBlocking {
+        cluster.start()
+        println("running: 1 control replica, 2 entries, 4 sidecars before 3 engines and 1 plain service")
+        val plan = QuickstartPlan(steps, groups, samples)
+        val input = QuickstartInput.read(Path.of(prompts), Path.of(requests))
+        QuickstartRun(cluster, plan, input, stop).run().also { cluster.drain() }
+    }
 }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Region
+import org.zinniahoist.model.Revision
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.settings.DeclaredTreeReader
 import org.zinniahoist.settings.OperatorName
@@ -49,14 +50,17 @@
         link.start()
     }
 
-    suspend fun applyTree(text: String) {
+    /** Applies the tree in [text] and returns its revision. */
+    suspend fun applyTree(text: String): Revision {
         val declared = DeclaredTreeReader.parse(mapOf("quickstart.ini" to text))
             .fold({ faults -> error(faults.joinToString { it.message }) }, { it })
         val edits = plan(SettingsTree.EMPTY, declared, OperatorName("quickstart"), "quickstart")
             .fold({ errors -> error(errors.joinToString { it.message }) }, { it })
-        edits.forEach { planned ->
+        return edits.maxOf { planned ->
             val answer = command(CoordinationCommand.Edit(planned.edit)) as CoordinationAnswer.Edited
-            check(answer.result is EditResult.Accepted) { "edit refused: ${answer.result}" }
+            val result = answer.result
+            check(result is EditResult.Accepted) { "edit refused: $result" }
+            result.revision
         }
     }
 
