Publish the decode thread before it runs

Cause: DecodeLoop.start assigned its thread field after starting the thread. A thread that ran first saw no current thread, ended, and left all streams waiting. An idle loop also made up for up to 50 ms of steps that it was never late for, and a cancelled last stream was not always reported to the load. Change: the field is volatile and set first; a wake-up from idle starts a new schedule; removals are reported. awaitUntil fails after 60,000 polls. Conclusion: the known hang is explained and fixed; the report of removals has no test of its own.

--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/DecodeLoop.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/DecodeLoop.kt
@@ -24,14 +24,21 @@
     private val lock = Object()
     private val waiting = ArrayDeque<DecodeStream>()
     private val running = mutableListOf<DecodeStream>()
+
+    @Volatile
     private var thread: Thread? = null
     private val rate = TokenRate(clock)
 
+    /** End of the last step. Only the loop's thread uses it. */
+    private var stepEnd = Duration.ZERO
+
     /** Number of tokens generated since the engine was created. */
     val generatedTokens: Long get() = rate.total
 
     fun start() {
-        thread = Thread(::run, "standin-${configuration.name}-decode").apply { isDaemon = true }.also { it.start() }
+        // The loop ends when it is not the current thread, so the field is set before the thread runs.
+        thread = Thread(::run, "standin-${configuration.name}-decode").apply { isDaemon = true }
+        thread?.start()
     }
 
     /** Stops the loop and aborts all streams. */
@@ -73,7 +80,7 @@
     private fun report() = onCounts(counts())
 
     private fun run() {
-        var stepEnd = clock.now()
+        stepEnd = clock.now()
         while (true) {
             val admitted = awaitWork() ?: return
             if (admitted.any { configuration.poisonMarker in it.prompt }) {
@@ -94,7 +101,7 @@
     private fun awaitWork(): List<DecodeStream>? = synchronized(lock) {
         val admitted = mutableListOf<DecodeStream>()
         while (thread === Thread.currentThread()) {
-            running.removeAll { it.cancelled }
+            if (running.removeAll { it.cancelled }) report()
             while (running.size < configuration.maximumBatch && waiting.isNotEmpty()) {
                 val stream = waiting.removeFirst()
                 stream.firstTokenAt = clock.now() + faults.pauseBeforeFirstToken
@@ -103,6 +110,8 @@
             }
             if (running.isNotEmpty()) return admitted
             lock.wait()
+            // An idle loop is not late, so the next steps have nothing to make up for.
+            stepEnd = clock.now()
         }
         null
     }
--- a/standin/src/test/kotlin/org/zinniahoist/standin/TestSupport.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/TestSupport.kt
@@ -11,8 +11,16 @@
 import java.net.URI
 import java.util.concurrent.CompletableFuture
 
+/** Guards against a test that hangs. At 1 ms or more each, the polls take a minute or longer. */
+private const val MAXIMUM_POLLS = 60_000
+
+/** Waits until [condition] holds, or fails after [MAXIMUM_POLLS] polls. */
 internal fun awaitUntil(condition: () -> Boolean) {
-    while (!condition()) Thread.sleep(1)
+    repeat(MAXIMUM_POLLS) {
+        if (condition()) return
+        Thread.sleep(1)
+    }
+    throw AssertionError("the awaited condition did not hold in $MAXIMUM_POLLS polls")
 }
 
 internal fun client(address: URI, factory: ClientFactory = ClientFactory.ofDefault()): WebClient = WebClient
