--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/StandInEngine.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/StandInEngine.kt
@@ -86,7 +86,7 @@
     @Synchronized
     override fun close() {
         loop.stop()
-        server.stop()
+        server.close()
     }
 
     /** Crashes on a thread of its own, because [crash] waits for the end of the decode loop. */
--- a/standin/src/main/kotlin/org/zinniahoist/standin/http/StandInServer.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/http/StandInServer.kt
@@ -10,11 +10,15 @@
 import java.net.Socket
 import java.net.URI
 
-/** HTTP server on a loopback port that keeps its port over a crash and a restart. */
-internal class StandInServer(private val routes: (ServerBuilder) -> Unit) {
+/** HTTP server on a loopback port that keeps its port over a crash and a restart, until it is closed. */
+internal class StandInServer(private val routes: (ServerBuilder) -> Unit) : AutoCloseable {
     private val connections = ConnectionControl()
     private var server: Server? = null
 
+    // Bound without listening: the kernel refuses connections to the port and assigns it to no other socket. With
+    // SO_REUSEADDR on both sockets the server can listen on it at the same time.
+    private var reservation: Socket? = null
+
     /** Port of the server, 0 before the first start. */
     @Volatile
     var port: Int = 0
@@ -27,10 +31,10 @@
     fun start() {
         check(server == null) { "the server is already started" }
         connections.acceptAll()
+        if (reservation == null) reservation = reserve()
         val started = build()
         started.start().join()
         server = started
-        port = checkNotNull(started.activeLocalPort())
     }
 
     /** Resets all connections, and each new one until the next start. */
@@ -47,7 +51,10 @@
             ?.let { connections.reset(it) }
     }
 
-    /** Resets all connections, because draining them delays each stop by a second or more, and stops listening. */
+    /**
+     * Resets all connections, because draining them delays each stop by a second or more, and stops listening. The port
+     * stays reserved.
+     */
     @Synchronized
     fun stop() {
         connections.resetAll()
@@ -57,6 +64,22 @@
         while (accepts()) Thread.sleep(1)
     }
 
+    /** Stops listening and releases the port. */
+    @Synchronized
+    override fun close() {
+        stop()
+        reservation?.close()
+        reservation = null
+    }
+
+    private fun reserve(): Socket {
+        val socket = Socket()
+        socket.reuseAddress = true
+        socket.bind(InetSocketAddress("127.0.0.1", port))
+        port = socket.localPort
+        return socket
+    }
+
     private fun accepts(): Boolean = try {
         Socket("127.0.0.1", port).use { true }
     } catch (_: IOException) {
--- a/standin/src/main/kotlin/org/zinniahoist/standin/platform/StandInPlatformList.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/platform/StandInPlatformList.kt
@@ -37,7 +37,7 @@
     /** Replaces the list; readers see [present] after the lag. */
     public fun publish(present: List<ListedInstance>): Unit = instances.record(present)
 
-    override fun close(): Unit = server.stop()
+    override fun close(): Unit = server.close()
 
     private fun addRoutes(builder: ServerBuilder) {
         builder.service("/instances") { _, _ -> jsonResponse(mapOf("instances" to instances.read())) }
--- a/standin/src/main/kotlin/org/zinniahoist/standin/scorer/StandInScorer.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/scorer/StandInScorer.kt
@@ -34,7 +34,7 @@
     public fun score(text: String): Double =
         (Hashing.komihash5_0().hashCharsToLong(text) ushr 1) / (Long.MAX_VALUE.toDouble() + 1)
 
-    override fun close(): Unit = server.stop()
+    override fun close(): Unit = server.close()
 
     private fun addRoutes(builder: ServerBuilder) {
         builder.service("/score") { context, request ->
--- a/standin/src/main/kotlin/org/zinniahoist/standin/service/StandInService.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/service/StandInService.kt
@@ -14,6 +14,7 @@
 import org.zinniahoist.standin.http.jsonResponse
 import java.net.URI
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.time.Duration
 
@@ -52,6 +53,7 @@
     private val server = StandInServer(::addRoutes)
     private val recorded = CopyOnWriteArrayList<Execution>()
     private val fault = AtomicReference<ServiceFault>()
+    private val receivedPosts = AtomicInteger()
 
     /** Time on the service's clock before each request is executed. */
     @Volatile
@@ -63,6 +65,9 @@
     /** All executions since the creation of the service, restarts included. */
     public val executions: List<Execution> get() = recorded.toList()
 
+    /** Number of `POST` requests received, executed or not. */
+    public val received: Int get() = receivedPosts.get()
+
     /** Returns the keys and bodies that were executed more than once. */
     public fun repeatedExecutions(): Map<Pair<String?, String>, Int> =
         executions.groupingBy { it.key to it.body }.eachCount().filterValues { it > 1 }
@@ -85,7 +90,7 @@
     /** Discards all further bytes on the connections that are open now. New connections work. */
     public fun silenceOpenConnections(): Unit = server.silenceOpenConnections()
 
-    override fun close(): Unit = server.stop()
+    override fun close(): Unit = server.close()
 
     private fun addRoutes(builder: ServerBuilder) {
         listOf("/orders", "/notes").forEach { path ->
@@ -102,6 +107,7 @@
         }
 
     private fun post(context: ServiceRequestContext, request: AggregatedHttpRequest): HttpResponse {
+        receivedPosts.incrementAndGet()
         clock.sleep(delay)
         val current = fault.getAndSet(null)
         if (current == ServiceFault.RESET_BEFORE_EXECUTION) {
--- a/standin/src/main/kotlin/org/zinniahoist/standin/weights/StandInWeightStore.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/weights/StandInWeightStore.kt
@@ -60,7 +60,7 @@
         versions.computeIfPresent(model to version) { _, stored -> stored.copy(withdrawn = true) }
     }
 
-    override fun close(): Unit = server.stop()
+    override fun close(): Unit = server.close()
 
     private fun addRoutes(builder: ServerBuilder) {
         builder.service("/weights") { _, _ ->
--- a/standin/src/test/kotlin/org/zinniahoist/standin/TestSupport.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/TestSupport.kt
@@ -8,6 +8,9 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
+import java.net.InetAddress
+import java.net.InetSocketAddress
+import java.net.ServerSocket
 import java.net.URI
 import java.util.concurrent.CompletableFuture
 
@@ -23,6 +26,12 @@
     throw AssertionError("the awaited condition did not hold in $MAXIMUM_POLLS polls")
 }
 
+/** Binds and frees [port] under the rules by which the kernel chooses ephemeral ports, without SO_REUSEADDR. */
+internal fun bindExclusively(port: Int) = ServerSocket().use { socket ->
+    socket.reuseAddress = false
+    socket.bind(InetSocketAddress(InetAddress.getLoopbackAddress(), port))
+}
+
 internal fun client(address: URI, factory: ClientFactory = ClientFactory.ofDefault()): WebClient = WebClient
     .builder(address)
     .factory(factory)
--- a/standin/src/test/kotlin/org/zinniahoist/standin/engine/StandInEngineTest.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/engine/StandInEngineTest.kt
@@ -5,7 +5,9 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
 import org.zinniahoist.standin.awaitUntil
+import org.zinniahoist.standin.bindExclusively
 import org.zinniahoist.standin.client
 import org.zinniahoist.standin.client.LiveCaller
 import org.zinniahoist.standin.client.LiveOutcome
@@ -17,6 +19,7 @@
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isNull
+import java.net.BindException
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -159,6 +162,7 @@
                 engine.crash()
                 expectThat(outcome.join()).isA<LiveOutcome.Broken>()
                 expectThat(caller(engine).complete(PROMPT).join()).isA<LiveOutcome.Broken>()
+                assertThrows<BindException> { bindExclusively(port) }
                 engine.start()
                 expectThat(engine.port).isEqualTo(port)
                 expectThat(caller(engine).complete(PROMPT, 5).join()).isA<LiveOutcome.Answered>()
--- a/standin/src/test/kotlin/org/zinniahoist/standin/service/StandInServiceTest.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/service/StandInServiceTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
+import org.zinniahoist.standin.StandInClock
 import org.zinniahoist.standin.awaitUntil
 import org.zinniahoist.standin.client
 import org.zinniahoist.standin.postJson
@@ -9,6 +10,7 @@
 import strikt.assertions.hasSize
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.seconds
 
@@ -71,14 +73,26 @@
             expectThat(silent.isDone).isFalse()
         }
 
-        /** Guards against a delay that is applied after the execution. */
+        /** Guards against a delay that is applied after the execution or to requests after its end. */
         @Test
-        fun `delays the execution`() = withService { service ->
+        fun `delays the execution of the requests received meanwhile`() = withService { service ->
             service.delay = 60_000.seconds
             val delayed = service.post()
+            awaitUntil { service.received == 1 }
             service.delay = 0.seconds
-            client(service.address).get("/orders").aggregate().join()
-            expectThat(delayed.isDone && service.executions.isEmpty()).isFalse()
+            expectThat(client(service.address).postJson("/orders", BODY, "key-2").join().status().code()).isEqualTo(201)
+            expectThat(service.executions).isEqualTo(listOf(Execution(1, "/orders", "key-2", BODY)))
+            expectThat(delayed.isDone).isFalse()
+        }
+
+        /** Guards against a delay that is ignored or that loses the request. */
+        @Test
+        fun `executes after the delay`() = withService { service ->
+            val clock = StandInClock(20.0)
+            service.delay = 2.seconds
+            expectThat(service.post().join().status().code()).isEqualTo(201)
+            expectThat(clock.now()).isGreaterThanOrEqualTo(2.seconds)
+            expectThat(service.executions).hasSize(1)
         }
     }
 }
--- a/standin/src/test/kotlin/org/zinniahoist/standin/weights/StandInStoresTest.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/weights/StandInStoresTest.kt
@@ -3,6 +3,7 @@
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.zinniahoist.standin.StandInClock
+import org.zinniahoist.standin.awaitUntil
 import org.zinniahoist.standin.client
 import org.zinniahoist.standin.engine.EngineConfiguration
 import org.zinniahoist.standin.engine.EngineOrder
@@ -55,13 +56,24 @@
 
     @Nested
     inner class Lists {
-        /** Guards against a list that shows a leaving instance at once. */
+        /** Guards against a list that shows an instance at once or never. */
         @Test
-        fun `lag behind`(): Unit = StandInPlatformList(60_000.seconds).start().check { list ->
+        fun `show an instance after the lag`(): Unit = StandInPlatformList(10.seconds, 20.0).start().check { list ->
+            val clock = StandInClock(20.0)
             list.publish(listOf(ListedInstance("a", "127.0.0.1:1", "leaving")))
-            expectThat(get(list.address, "/instances").join().contentUtf8()).isEqualTo("""{"instances":[]}""")
+            val shown = """{"instances":[{"name":"a","address":"127.0.0.1:1","state":"leaving"}]}"""
+            awaitUntil { get(list.address, "/instances").join().contentUtf8() == shown }
+            expectThat(clock.now()).isGreaterThanOrEqualTo(10.seconds)
         }
 
+        /** Guards against a list that forgets the instances which a change that is still hidden removes. */
+        @Test
+        fun `show the old instances during the lag`(): Unit =
+            StandInPlatformList(60_000.seconds).start().check { list ->
+                list.publish(listOf(ListedInstance("a", "127.0.0.1:1", "leaving")))
+                expectThat(get(list.address, "/instances").join().contentUtf8()).isEqualTo("""{"instances":[]}""")
+            }
+
         /** Guards against scores that differ between runs. */
         @Test
         fun `score a text always the same`(): Unit = StandInScorer().start().check { scorer ->
