Take orders from control links only and harden the calls

Change: orders count only from links of control replicas, starts only from links of entries. Paths with dot segments are refused. Suspension ends in any case, and evaluations of a crash follow each other. Only a refused connection makes the upstream unreachable. A stream is whole once [DONE] was read. Calls are recorded as events. Conclusion: the sidecar is the only source of orders for its engine.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/AnswerDecoder.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/AnswerDecoder.kt
@@ -20,6 +20,9 @@
     /** The versions of the answer so far. Empty if a part of the answer names no version. */
     val label: Label
 
+    /** Whether the answer is whole although the body has not ended. */
+    val isComplete: Boolean get() = false
+
     fun accept(bytes: ByteArray): List<AnswerPiece>
 
     /** Returns whether the answer is whole, once the body has ended. */
@@ -65,6 +68,8 @@
     private val spans = SpanCollector()
     private var isDone = false
 
+    override val isComplete: Boolean get() = isDone
+
     override val label: Label get() = spans.label
 
     override fun accept(bytes: ByteArray): List<AnswerPiece> {
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashDetector.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashDetector.kt
@@ -3,6 +3,8 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.async
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import org.zinniahoist.daemon.timeline.EventRecorder
 import org.zinniahoist.daemon.timeline.record
 import org.zinniahoist.model.Moment
@@ -19,6 +21,7 @@
     private val clock: () -> Moment,
 ) {
     private val lock = Any()
+    private val evaluating = Mutex()
     private val running = HashSet<ActiveAttempt>()
     private val broken = HashSet<ActiveAttempt>()
     private var evaluation: Deferred<Unit>? = null
@@ -59,9 +62,18 @@
      * An upstream that answers and still serves connections from before did not crash. If it answers and serves none of
      * them, it was started again.
      */
-    private suspend fun evaluate() {
+    private suspend fun evaluate() = evaluating.withLock {
         state.isSuspended = true
-        val alive = isAlive()
+        try {
+            val alive = isAlive()
+            state.isReachable = alive
+            judge(alive)
+        } finally {
+            state.isSuspended = false
+        }
+    }
+
+    private suspend fun judge(alive: Boolean) {
         val (casualties, survivors) = synchronized(lock) {
             evaluation = null
             val casualties = broken.toSet()
@@ -80,8 +92,6 @@
             survivors.forEach { it.exchange?.abort(UpstreamCrashedException()) }
             onCrash(alive)
         }
-        state.isReachable = alive
-        state.isSuspended = false
     }
 }
 
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/HealthMonitor.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/HealthMonitor.kt
@@ -21,12 +21,10 @@
     private val state: UpstreamState,
     private val events: EventRecorder,
     private val clock: () -> Moment,
-) {
-    /** Records that a connection received bytes or that an attempt was given to it. */
-    fun onActivity(connection: Long): Unit = synchronized(health) { health.onActivity(connection, clock()) }
+) : ConnectionWatch {
+    override fun onActivity(connection: Long): Unit = synchronized(health) { health.onActivity(connection, clock()) }
 
-    /** Records that no attempt waits for bytes on a connection. */
-    fun onIdle(connection: Long): Unit = synchronized(health) { health.onIdle(connection) }
+    override fun onIdle(connection: Long): Unit = synchronized(health) { health.onIdle(connection) }
 
     /** Does what is due for the upstream of [attempts]. */
     fun check(attempts: Set<ActiveAttempt>, scope: CoroutineScope) {
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/Sidecar.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/Sidecar.kt
@@ -16,6 +16,7 @@
 import org.zinniahoist.model.FailureReason
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RefusalReason
+import org.zinniahoist.model.Role
 import org.zinniahoist.settings.DaemonSettings
 import org.zinniahoist.settings.EffectiveSettings
 import org.zinniahoist.wire.AttemptMessage
@@ -100,7 +101,7 @@
             is AttemptMessage.StartAttempt -> accept(link, message)
             is AttemptMessage.CancelAttempt -> attempts[AttemptKey(link, message.attempt)]?.stop(StopCause.CANCELLED)
             is AttemptMessage.Credit -> attempts[AttemptKey(link, message.attempt)]?.credit?.grant(message.frames)
-            is ControlMessage.OrdersUpdate -> scope.launch { parts.orders.offer(message.content) }
+            is ControlMessage.OrdersUpdate -> acceptOrders(link, message)
             else -> Unit
         }
     }
@@ -110,6 +111,15 @@
         attempts.values.filter { it.belongsTo(link) }.forEach { it.stop(StopCause.LINK_LOST) }
     }
 
+    /** Entries must not give orders, as an engine can't tell who gave them. */
+    private fun acceptOrders(link: LinkConnection, update: ControlMessage.OrdersUpdate) {
+        if (Role.CONTROL in link.peer.roles) {
+            scope.launch { parts.orders.offer(update.content) }
+        } else {
+            events.record("orders-refused", "peer" to link.peer.instance)
+        }
+    }
+
     private fun accept(link: LinkConnection, start: AttemptMessage.StartAttempt) {
         val now = clock()
         val maximum = (inForce.settings ?: EffectiveSettings()).limits.maximumBudget
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/SidecarParts.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/SidecarParts.kt
@@ -36,7 +36,7 @@
     val crashes: CrashDetector =
         CrashDetector(policies.crashReports, state, health::isAlive, { monitor.onRestart() }, events, scope, clock)
     val claims: Claims = Claims(ledger, scope, events, random)
-    private val relay = UpstreamRelay(client, state, gate, crashes, health, clock)
+    private val relay = UpstreamRelay(client, state, gate, crashes, health, events, clock)
     val runner: AttemptRunner = AttemptRunner(
         client,
         gate,
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/StartChecks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/StartChecks.kt
@@ -3,6 +3,7 @@
 import org.zinniahoist.daemon.configuration.SettingsInForce
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RefusalReason
+import org.zinniahoist.model.Role
 import org.zinniahoist.wire.AttemptMessage
 import org.zinniahoist.wire.LinkConnection
 import kotlin.time.Duration
@@ -19,6 +20,8 @@
     fun refusal(link: LinkConnection, start: AttemptMessage.StartAttempt, present: Present): AttemptOutcome? {
         val heartbeatAt = link.heartbeatSentAt(start.heartbeatEcho)
         return when {
+            Role.ENTRY !in link.peer.roles -> AttemptOutcome.notRun(RefusalReason.UNAUTHORIZED)
+
             heartbeatAt == null || present.now - heartbeatAt > FRESHNESS ->
                 AttemptOutcome.notRun(RefusalReason.STALE_START)
 
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamClient.kt
@@ -14,6 +14,7 @@
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.FailureReason
 import org.zinniahoist.wire.AttemptMessage
+import java.net.ConnectException
 import java.time.Duration
 import java.util.concurrent.CancellationException
 import java.util.concurrent.CompletableFuture
@@ -52,8 +53,9 @@
     /** Returns the request of [start], or null if its method or path is not allowed for the upstream. */
     fun prepare(start: AttemptMessage.StartAttempt): HttpRequest? {
         val path = start.call.path
-        val method = HttpMethod.tryParse(start.call.method) ?: return null
-        if (!path.startsWith(allowedPrefix) || path.startsWith("//")) return null
+        val method = HttpMethod.tryParse(start.call.method)
+        if (method == null || method == HttpMethod.CONNECT) return null
+        if (!path.startsWith(allowedPrefix) || path.startsWith("//") || DOT_SEGMENT.containsMatchIn(path)) return null
         return try {
             HttpRequest.of(headers(start, method), HttpData.wrap(start.call.body))
         } catch (_: IllegalArgumentException) {
@@ -62,10 +64,10 @@
     }
 
     /** Begins a call. From now on the upstream may have received bytes. */
-    fun open(request: HttpRequest, onConnected: (connection: Long) -> Unit): UpstreamExchange =
+    fun open(request: HttpRequest, watch: ConnectionWatch): UpstreamExchange =
         Clients.newContextCaptor().use { captor ->
             val response = client.execute(request)
-            UpstreamExchange(response, captor.get(), onConnected)
+            UpstreamExchange(response, captor.get(), watch)
         }
 
     /** Sends a GET request on a new connection. Returns null if there is no successful answer in time. */
@@ -135,6 +137,12 @@
         /** An engine loads weights within this time or its swap has failed. */
         private val ORDER_TIMEOUT: Duration = Duration.ofMinutes(2)
 
+        /** A path with such a segment could lead out of the allowed prefix. */
+        private val DOT_SEGMENT = Regex("(^|/)(\\.|%2e){1,2}(/|\\?|$)", RegexOption.IGNORE_CASE)
+
+        /** Returns whether the upstream refused the connection or did not accept it in time. */
+        fun isRefused(cause: Throwable): Boolean = peel(cause).cause is ConnectException
+
         /** Returns whether the request was surely not written. */
         fun isUnsent(cause: Throwable): Boolean = peel(cause) is UnprocessedRequestException
 
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamExchange.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamExchange.kt
@@ -13,13 +13,21 @@
 import java.io.IOException
 import java.net.InetSocketAddress
 
+/** Is told on which connections the sidecar waits for bytes. A connection's number is its local port. */
+internal interface ConnectionWatch {
+    fun onActivity(connection: Long)
+
+    fun onIdle(connection: Long)
+}
+
 /** One call to the upstream. Reads the answer only as fast as [next] asks for it. */
 internal class UpstreamExchange(
     private val response: HttpResponse,
     context: ClientRequestContext,
-    onConnected: (connection: Long) -> Unit,
+    private val watch: ConnectionWatch,
 ) {
     private val objects = Channel<HttpObject>(Channel.UNLIMITED)
+    private var hasEnded = false
     private val subscription = CompletableDeferred<Subscription>()
 
     /** Number of the connection, which is its local port, once there is one. */
@@ -29,8 +37,7 @@
 
     init {
         context.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { log ->
-            val local = log.channel()?.localAddress() as? InetSocketAddress
-            connection = local?.port?.toLong()?.also(onConnected)
+            (log.channel()?.localAddress() as? InetSocketAddress)?.let { onConnected(it.port.toLong()) }
         }
         response.subscribe(Receiver())
     }
@@ -56,6 +63,29 @@
         response.abort(cause)
     }
 
+    /** Records that the call waits for bytes. */
+    fun onActive() {
+        connection?.let(watch::onActivity)
+    }
+
+    /** Records that the call does not wait for bytes at present. */
+    fun onIdle() {
+        connection?.let(watch::onIdle)
+    }
+
+    /** Records that the call waits for nothing any more. */
+    @Synchronized
+    fun end() {
+        hasEnded = true
+        onIdle()
+    }
+
+    @Synchronized
+    private fun onConnected(port: Long) {
+        connection = port
+        if (!hasEnded) watch.onActivity(port)
+    }
+
     private suspend fun receive(): HttpObject? {
         subscription.await().request(1)
         val received = objects.receiveCatching()
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamRelay.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamRelay.kt
@@ -4,6 +4,8 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.withContext
+import org.zinniahoist.daemon.timeline.EventRecorder
+import org.zinniahoist.daemon.timeline.record
 import org.zinniahoist.model.FailureReason
 import org.zinniahoist.model.Label
 import org.zinniahoist.model.Moment
@@ -36,23 +38,25 @@
     private val state: UpstreamState,
     private val gate: AdmissionGate,
     private val crashes: CrashDetector,
-    private val health: HealthMonitor,
+    private val health: ConnectionWatch,
+    private val events: EventRecorder,
     private val clock: () -> Moment,
 ) {
     /** Calls the upstream for an attempt that [CrashDetector.tryStart] has counted as given. */
     suspend fun call(attempt: ActiveAttempt, slot: AdmissionGate.Slot, request: HttpRequest): CallResult {
-        val exchange = client.open(request, health::onActivity)
-        attempt.exchange = exchange
         val result = try {
+            val exchange = client.open(request, health)
+            attempt.exchange = exchange
+            events.record("call-started", "attempt" to attempt.start.attempt, "request" to attempt.start.request)
             relay(attempt, slot, exchange)
         } catch (cancelled: CancellationException) {
-            exchange.abort(cancelled)
+            attempt.exchange?.abort(cancelled)
             withContext(NonCancellable) { crashes.onEnd(attempt, finished = false) }
             throw cancelled
         } catch (failure: Exception) {
             fail(failure)
         } finally {
-            exchange.connection?.let(health::onIdle)
+            attempt.exchange?.end()
         }
         val crashed = result is CallResult.Broken && result.reason == FailureReason.UPSTREAM_CRASHED
         if (crashed) crashes.onBroken(attempt) else crashes.onEnd(attempt, finished = result is CallResult.Answered)
@@ -63,7 +67,7 @@
     private fun fail(failure: Exception): CallResult {
         val detail = failure.message ?: failure::class.simpleName.orEmpty()
         if (!UpstreamClient.isUnsent(failure)) return CallResult.Broken(UpstreamClient.reasonOf(failure), detail)
-        state.isReachable = false
+        if (UpstreamClient.isRefused(failure)) state.isReachable = false
         return CallResult.NotSent(detail)
     }
 
@@ -78,8 +82,8 @@
         val decoder = AnswerDecoder.of(state.isEngine, contentType)
         val body = StoredBody()
         while (true) {
-            exchange.connection?.let(health::onActivity)
-            val bytes = exchange.next() ?: break
+            exchange.onActive()
+            val bytes = exchange.nextUnless { decoder.isComplete } ?: break
             body.append(bytes)
             for (piece in decoder.accept(bytes)) {
                 if (slot.tokens == 0 && piece.tokens > 0 && attempt.start.origin is RequestOrigin.Live) {
@@ -87,7 +91,7 @@
                 }
                 slot.tokens += piece.tokens
                 if (piece.tokens > 0) gate.onTokens(piece.tokens)
-                if (!attempt.credit.hasCredit) exchange.connection?.let(health::onIdle)
+                if (!attempt.credit.hasCredit) exchange.onIdle()
                 attempt.deliver(piece)
             }
         }
@@ -97,6 +101,15 @@
     }
 }
 
+/** Returns null at the end of the body, or if the connection broke when nothing more was needed. */
+private suspend inline fun UpstreamExchange.nextUnless(isComplete: () -> Boolean): ByteArray? = try {
+    next()
+} catch (cancelled: CancellationException) {
+    throw cancelled
+} catch (failure: Exception) {
+    if (isComplete()) null else throw failure
+}
+
 /** Keeps the bytes of an answer while they can be stored in the ledger. */
 internal class StoredBody {
     private var kept: ByteArrayOutputStream? = ByteArrayOutputStream()
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -21,6 +21,7 @@
 internal class FakeLink(
     private val sidecar: Sidecar,
     clock: () -> Moment,
+    role: Role = Role.ENTRY,
 ) : LinkConnection {
     private val received = MutableStateFlow<List<Message>>(emptyList())
     private val heartbeats = mapOf(HEARTBEAT to clock())
@@ -34,7 +35,7 @@
         InstanceName("entry"),
         Incarnation(1),
         FailureDomain("a", Region("r")),
-        setOf(Role.ENTRY),
+        setOf(role),
     )
     override val lastHeartbeatReceived = 0L
 
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/OrdersTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/OrdersTest.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.RefusalReason
 import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
 import org.zinniahoist.model.Verdict
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.state.StateCodec
@@ -36,12 +37,13 @@
     inner class OldTokens {
         @ParameterizedTest
         @ValueSource(booleans = [false, true])
-        fun `guards against an order of a deposed leader`(checksTokens: Boolean) =
+        fun `guards against an order of a deposed leader or of an entry`(checksTokens: Boolean) =
             SidecarScenario.run(SidecarScenario.ENGINE, TestUpstream(checksTokens)) {
                 repeat(9) { control.issue(load(it.toLong())) }
                 val sidecar = sidecar()
-                val link = link(sidecar)
+                val link = link(sidecar, Role.CONTROL)
                 upstream.orders.first { it.size == 1 }
+                sidecar.update(link(sidecar, Role.ENTRY), FencedOrder(FencingToken(50), load(50)))
                 sidecar.update(link, FencedOrder(FencingToken(8), load(99)))
                 sidecar.update(link, FencedOrder(FencingToken(10), load(10)))
                 upstream.orders.first { it.size == 2 }
@@ -58,7 +60,7 @@
                 control.holdQueries = true
                 val sidecar = sidecar(awaitReady = false)
                 val link = link(sidecar)
-                sidecar.update(link, FencedOrder(FencingToken(1), load(5)))
+                sidecar.update(link(sidecar, Role.CONTROL), FencedOrder(FencingToken(1), load(5)))
                 sidecar.start(link, "early")
                 expectThat(link.end("early").verdict).isA<Verdict.NotRun>()
                     .get { reason }.isEqualTo(RefusalReason.CONTROL_UNAVAILABLE)
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/SidecarScenario.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/SidecarScenario.kt
@@ -63,7 +63,7 @@
         return sidecar
     }
 
-    fun link(sidecar: Sidecar): FakeLink = FakeLink(sidecar, clock).also(sidecar::onOpen)
+    fun link(sidecar: Sidecar, role: Role = Role.ENTRY): FakeLink = FakeLink(sidecar, clock, role).also(sidecar::onOpen)
 
     override fun close() {
         sidecars.forEach(Sidecar::close)
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/StreamTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/StreamTest.kt
@@ -147,8 +147,12 @@
     fun `guards against orders that an entry sends past the fencing tokens`() = engine {
         val sidecar = sidecar()
         val link = link(sidecar)
-        sidecar.start(link, "a", path = "/orders", body = """{"kind":"load-version","version":9,"fencing_token":9}""")
-        expectThat(link.end("a").verdict).isA<Verdict.NotRun>().get { reason }.isEqualTo(RefusalReason.UNKNOWN_ROUTE)
+        val order = """{"kind":"load-version","version":9,"fencing_token":9}"""
+        listOf("/orders", "/v1/../orders", "/v1/%2E%2e/orders", "//orders").forEach { path ->
+            sidecar.start(link, path, path = path, body = order)
+            expectThat(link.end(path).verdict).isA<Verdict.NotRun>()
+                .get { reason }.isEqualTo(RefusalReason.UNKNOWN_ROUTE)
+        }
         expectThat(upstream.orders.value).isEmpty()
     }
 
