Let tests of drain and release fail without waiting

Cause: with the wait of drain left out, the drain test hung instead of failing; tests of Release waited for it likewise. Change: a fake link reports that it was closed before an attempt ended. The tests of Release drain the sidecar and look at the ledger then. The restart test waits until the sidecar has seen that the key is held before time passes. Conclusion: the tests give a verdict also when the mechanism is missing.

--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/AtMostOnceTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/AtMostOnceTest.kt
@@ -53,7 +53,8 @@
             val second = sidecar()
             val link = link(second)
             second.start(link, "b", terms("k"))
-            SidecarScenario.awaitUntil { control.claims >= 2 || link.hasEnded("b") }
+            // The third claim shows that the answer to the second was seen.
+            SidecarScenario.awaitUntil { control.claims >= 3 || link.hasEnded("b") }
             advanceUntilEnded(link, "b")
             expectThat(link.end("b").verdict).isEqualTo(Verdict.MayHaveRun(FailureReason.KEY_IN_PROGRESS))
             expectThat(upstream.calls.value).hasSize(1)
@@ -109,12 +110,17 @@
             control.fault = { if (it is LedgerCommand.Claim) Fault.ANSWER_LOST_AND_LATE else Fault.NONE }
             sidecar.start(link, "a", terms("k"))
             expectThat(link.end("a").verdict).isEqualTo(notRun(RefusalReason.CONTROL_UNAVAILABLE))
-            control.await { commands -> commands.any { it is LedgerCommand.Release } }
+            sidecar.drain()
             control.fault = { Fault.NONE }
             control.commitLate()
 
-            sidecar.start(link, "b", terms("k"))
-            expectThat(link.end("b").verdict).isEqualTo(Verdict.Completed)
+            val other = sidecar()
+            val otherLink = link(other)
+            other.start(otherLink, "b", terms("k"))
+            // A key that is still held makes the sidecar ask for it again and again.
+            SidecarScenario.awaitUntil { otherLink.hasEnded("b") || control.claims > 3 }
+            expectThat(otherLink.hasEnded("b")).isTrue()
+            expectThat(otherLink.end("b").verdict).isEqualTo(Verdict.Completed)
             expectThat(upstream.calls.value).hasSize(1)
         }
 
@@ -200,7 +206,8 @@
             SidecarScenario.awaitUntil { claimed.isCompleted || link.hasEnded("a") }
             sidecar.cancel(link, "a")
             expectThat(link.end("a").verdict).isEqualTo(notRun(RefusalReason.CANCELLED))
-            control.await { commands -> commands.any { it is LedgerCommand.Release } }
+            sidecar.drain()
+            expectThat(control.applied.value.single()).isA<LedgerCommand.Release>()
             expectThat(upstream.calls.value.isEmpty()).isTrue()
         }
     }
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -51,6 +51,7 @@
 
     override fun close(reason: String) {
         closedWith = reason
+        received.update { it + LinkMessage.Goodbye(reason) }
     }
 
     fun chunks(attempt: String): List<AttemptChunk> = chunksIn(received.value, attempt)
@@ -60,8 +61,9 @@
         received.first { chunksIn(it, attempt).size >= count }
     }
 
+    /** Waits for the end of [attempt]. Fails if the link was closed without one. */
     suspend fun end(attempt: String): AttemptEnd = received
-        .first { messages -> messages.any { it is AttemptEnd && it.attempt.value == attempt } }
+        .first { it.any { message -> message is LinkMessage.Goodbye } || hasEnded(attempt) }
         .filterIsInstance<AttemptEnd>()
         .single { it.attempt.value == attempt }
 
@@ -70,7 +72,7 @@
 
     /** Breaks the link. */
     fun lose() {
-        closedWith = "lost"
+        close("lost")
         sidecar.onClosed(this, LinkCloseCause.Silent)
     }
 
