--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -21,6 +21,7 @@
 internal class FakeLink(
     private val sidecar: Sidecar,
     clock: () -> Moment,
+    role: Role = Role.ENTRY,
 ) : LinkConnection {
     private val received = MutableStateFlow<List<Message>>(emptyList())
     private val heartbeats = mapOf(HEARTBEAT to clock())
@@ -34,7 +35,7 @@
         InstanceName("entry"),
         Incarnation(1),
         FailureDomain("a", Region("r")),
-        setOf(Role.ENTRY),
+        setOf(role),
     )
     override val lastHeartbeatReceived = 0L
 
@@ -50,6 +51,7 @@
 
     override fun close(reason: String) {
         closedWith = reason
+        received.update { it + LinkMessage.Goodbye(reason) }
     }
 
     fun chunks(attempt: String): List<AttemptChunk> = chunksIn(received.value, attempt)
@@ -59,8 +61,9 @@
         received.first { chunksIn(it, attempt).size >= count }
     }
 
+    /** Waits for the end of [attempt]. Fails if the link was closed without one. */
     suspend fun end(attempt: String): AttemptEnd = received
-        .first { messages -> messages.any { it is AttemptEnd && it.attempt.value == attempt } }
+        .first { it.any { message -> message is LinkMessage.Goodbye } || hasEnded(attempt) }
         .filterIsInstance<AttemptEnd>()
         .single { it.attempt.value == attempt }
 
@@ -69,7 +72,7 @@
 
     /** Breaks the link. */
     fun lose() {
-        closedWith = "lost"
+        close("lost")
         sidecar.onClosed(this, LinkCloseCause.Silent)
     }
 
