--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -34,6 +34,12 @@
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
     private var lastJoinRequest: Moment = now
+
+    /**
+     * True once a candidate with an older log asked this replica. A learner in this position must campaign: the
+     * candidate may count it as a voter by a later promotion, and can't win without it.
+     */
+    private var refusedOlderLog = false
     private var snapshotRequestedIndex = context.commitIndex
 
     /** Identity and instance of this replica. */
@@ -99,7 +105,7 @@
             if (!leading.onTick()) becomeFollower(term, null)
             return
         }
-        if (election.isDue && context.mayCampaign) campaign()
+        if (election.isDue && (context.mayCampaign || refusedOlderLog)) campaign()
         requestToJoin()
     }
 
@@ -125,7 +131,10 @@
         when (content) {
             is JoinRequest -> leader?.onJoin(message.from)
 
-            is PreVoteRequest -> election.answerPreVote(message.from, content, leaderIsAlive())
+            is PreVoteRequest -> {
+                if (!context.log.isUpToDate(content.lastIndex, content.lastTerm)) refusedOlderLog = true
+                election.answerPreVote(message.from, content, leaderIsAlive())
+            }
 
             is PreVoteResponse -> {
                 if (message.term > term) becomeFollower(message.term, null)
@@ -177,6 +186,7 @@
         election.cancel()
         election.resetDeadline()
         lastLeaderContact = context.now
+        refusedOlderLog = false
     }
 
     /** Answers the request of an old leader or candidate, so that it learns the present term. */
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupBenchmark.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupBenchmark.kt
@@ -103,8 +103,9 @@
             Thread.sleep(1)
         }
         val answered = System.nanoTime()
+        val (openMs, answerMs) = listOf(opened, answered).map { (it - start) / 1_000_000 }
         println(
-            "recovery entries=$entries open_ms=${(opened - start) / 1_000_000} answer_ms=${(answered - start) / 1_000_000}",
+            "recovery entries=$entries open_ms=$openMs answer_ms=$answerMs",
         )
         group.stop(host)
     }
--- /dev/null
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupHostTest.kt
@@ -0,0 +1,66 @@
+package org.zinniahoist.consensus
+
+import arrow.core.getOrElse
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.InstanceName
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isNotNull
+import kotlin.time.Duration.Companion.milliseconds
+
+class GroupHostTest {
+    private val stores = List(3) { MemoryFileStore() }
+    private val instances = List(3) { InstanceName("n$it") }
+    private val options =
+        ReplicaOptions(
+            heartbeatInterval = 20.milliseconds,
+            electionTimeout = 200.milliseconds,
+            snapshotInterval = 50,
+            trailingEntries = 5,
+            memberInstances = instances.toSet(),
+        )
+
+    private fun GroupAnswer.count(): Long = CountingMachine.decode(getOrElse { error(it.toString()) })
+
+    /** Proposes until a leader has committed; commands whose outcome is unknown may be counted as well. */
+    private fun LocalGroup.commit(): Long {
+        while (true) {
+            val answer = awaitLeader().propose(ByteArray(10)).join()
+            if (answer.isRight()) return answer.count()
+        }
+    }
+
+    /** Guards against acknowledged commands that a restart or a new leader does not know. */
+    @Test
+    fun `a group keeps its state when the leader is stopped and a disk is replaced`() {
+        val group = LocalGroup({ stores[it] }, size = 3, options)
+        var expected = 0L
+        repeat(200) { expected = group.commit() }
+        val leader = group.awaitLeader()
+        group.stop(leader)
+        expectThat(leader.propose(ByteArray(1)).join()).isLeft().isA<GroupFailure.Unavailable>()
+        val number = instances.indexOf(leader.status.address.instance)
+        expected = group.commit()
+        stores[number].list().forEach { stores[number].delete(it) }
+        val replaced = group.start(number).status.address.identifier
+        while (!group.awaitLeader().status.configuration.isVoter(replaced)) expected = group.commit()
+        expectThat(group.awaitLeader().query(ByteArray(0)).join().count() >= expected).isEqualTo(true)
+        val follower = group.hosts.values.first { !it.status.isLeader }
+        expectThat(follower.query(ByteArray(0)).join()).isLeft().isA<GroupFailure.NotLeader>()
+        group.close()
+    }
+
+    /** Guards against a replica that acknowledges after its disk failed. */
+    @Test
+    fun `a failed sync stops the replica`() {
+        val group = LocalGroup({ stores[it] }, size = 1, options)
+        val host = group.awaitLeader()
+        expectThat(host.propose(ByteArray(1)).join()).isRight()
+        stores[0].failSyncs = true
+        expectThat(host.propose(ByteArray(1)).join()).isLeft().isA<GroupFailure.OutcomeUnknown>()
+        stores[0].failSyncs = false
+        expectThat(host.propose(ByteArray(1)).join()).isLeft().isA<GroupFailure.Unavailable>()
+        expectThat(host.status.failure).isNotNull()
+    }
+}
--- /dev/null
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -0,0 +1,161 @@
+@file:OptIn(kotlinx.serialization.ExperimentalSerializationApi::class)
+
+package org.zinniahoist.consensus
+
+import kotlinx.serialization.cbor.Cbor
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.zinniahoist.consensus.ReplicaMessageContent.AppendRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.AppendResponse
+import org.zinniahoist.consensus.ReplicaMessageContent.PreVoteRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.PreVoteResponse
+import org.zinniahoist.consensus.ReplicaMessageContent.SnapshotRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.VoteRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.VoteResponse
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.Moment
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class ReplicaTest {
+    private val addresses = List(3) { ReplicaAddress(ReplicaIdentifier(it.toLong()), InstanceName("n$it")) }
+    private val configuration = Configuration(addresses.map { Member(it, voter = true) })
+    private var now = Moment.ZERO
+    private val first = LogEntry(1, 1, 1_000, command = null, configuration)
+
+    private fun replica(vararg entries: LogEntry): Replica {
+        val recovered = RecoveredState(addresses[0].identifier, HardState(1, null), null, entries.toList())
+        return Replica(addresses[0].instance, ReplicaOptions(), recovered, Random(1), now)
+    }
+
+    private fun Replica.step(event: ReplicaEvent, later: Duration = Duration.ZERO): List<ReplicaAction> {
+        now += later
+        return step(now, listOf(event))
+    }
+
+    private fun Replica.receive(from: Int, content: ReplicaMessageContent, term: Long = this.term) =
+        step(ReplicaEvent.Receive(ReplicaMessage(addresses[from], address.identifier, term, content)))
+
+    private fun List<ReplicaAction>.sent() = filterIsInstance<ReplicaAction.Send>().map { it.message.content }
+
+    private fun List<ReplicaAction>.sequence() = filterIsInstance<ReplicaAction.Persist>().last().sequence
+
+    private fun leader(): Replica {
+        val replica = replica(first)
+        replica.step(ReplicaEvent.Tick, 2.seconds)
+        val campaign = replica.receive(1, PreVoteResponse(2, granted = true))
+        replica.step(ReplicaEvent.Persisted(campaign.sequence()))
+        val start = replica.receive(1, VoteResponse(granted = true))
+        replica.step(ReplicaEvent.Persisted(start.sequence()))
+        return replica
+    }
+
+    @Nested
+    inner class `Before the sync completed` {
+        /** Guards against a vote that is forgotten in a crash and given again to another candidate. */
+        @Test
+        fun `no vote is sent`() {
+            val replica = replica(first)
+            val actions = replica.receive(1, VoteRequest(1, 1), term = 2)
+            expectThat(actions.sent()).isEmpty()
+            expectThat(replica.step(ReplicaEvent.Persisted(actions.sequence())).sent()).contains(VoteResponse(true))
+        }
+
+        /** Guards against entries that count as committed and are lost in a crash. */
+        @Test
+        fun `no entry is acknowledged`() {
+            val replica = replica(first)
+            val entry = LogEntry(2, 2, 1_000, ByteArray(1))
+            val actions = replica.receive(1, AppendRequest(1, 1, listOf(entry), 1, 0), term = 2)
+            expectThat(actions.sent()).isEmpty()
+            expectThat(replica.step(ReplicaEvent.Persisted(actions.sequence())).sent())
+                .contains(AppendResponse(true, 2, 2, 0))
+        }
+    }
+
+    @Nested
+    inner class `A leader` {
+        /** Guards against a leader that is cut off and goes on believing that it leads. */
+        @Test
+        fun `steps down without its majority`() {
+            val replica = leader()
+            expectThat(replica.isLeader).isTrue()
+            repeat(2) { replica.step(ReplicaEvent.Tick, 700.milliseconds) }
+            expectThat(replica.isLeader).isFalse()
+        }
+
+        /** Guards against stale reads of a leader that was replaced without noticing. */
+        @Test
+        fun `answers a read only after a majority confirmed it`() {
+            val replica = leader()
+            replica.receive(1, AppendResponse(true, 2, 2, 0))
+            val actions = replica.step(ReplicaEvent.Read(5))
+            val round = actions.sent().filterIsInstance<AppendRequest>().last().round
+            expectThat(actions.filterIsInstance<ReplicaAction.AnswerRead>()).isEmpty()
+            val stale = replica.receive(1, AppendResponse(true, 2, 2, round - 1))
+            expectThat(stale.filterIsInstance<ReplicaAction.AnswerRead>()).isEmpty()
+            expectThat(replica.receive(2, AppendResponse(true, 2, 2, round))).contains(ReplicaAction.AnswerRead(5))
+        }
+
+        /** Guards against state machines whose clock runs backwards when the wall clock is set back. */
+        @Test
+        fun `never stamps a smaller time`() {
+            val replica = leader()
+            val entries =
+                listOf(5_000L, 200L).flatMap { wall ->
+                    replica.step(ReplicaEvent.Propose(1, wall, ByteArray(1)))
+                        .filterIsInstance<ReplicaAction.Persist>().flatMap { it.entries }
+                }
+            expectThat(entries.map { it.timeMilliseconds }).isEqualTo(listOf(5_000L, 5_000L))
+        }
+    }
+
+    @Nested
+    inner class `A replica without a vote` {
+        /** Guards against learners that disturb the group. */
+        @Test
+        fun `does not campaign as a learner`() {
+            val learner = Configuration(configuration.members.map { it.copy(voter = it.address != addresses[0]) })
+            val replica = replica(LogEntry(1, 1, 1_000, command = null, learner))
+            expectThat(replica.step(ReplicaEvent.Tick, 2.seconds).sent()).isEmpty()
+        }
+
+        /** Guards against a group that waits for a learner with the newest log, which another replica has promoted. */
+        @Test
+        fun `campaigns as a learner after refusing an older log`() {
+            val learner = Configuration(configuration.members.map { it.copy(voter = it.address != addresses[0]) })
+            val replica = replica(LogEntry(1, 1, 1_000, command = null, learner), LogEntry(2, 1, 1_000))
+            replica.receive(1, PreVoteRequest(2, 1, 1))
+            expectThat(replica.step(ReplicaEvent.Tick, 2.seconds).sent()).contains(PreVoteRequest(2, 2, 1))
+        }
+
+        /** Guards against a group in which the replica with the longest log waits for others that can't win. */
+        @Test
+        fun `campaigns until its removal is committed`() {
+            val removal = LogEntry(2, 1, 1_000, command = null, configuration.without(addresses[0].identifier))
+            val replica = replica(first, removal)
+            expectThat(replica.step(ReplicaEvent.Tick, 2.seconds).sent()).contains(PreVoteRequest(2, 2, 1))
+        }
+    }
+
+    /** Guards against messages that can't be carried by a link. */
+    @Test
+    fun `messages survive CBOR`() {
+        val snapshot = Snapshot(1, 1, 1, configuration, ByteArray(3))
+        val contents = listOf(AppendRequest(1, 1, listOf(first), 1, 2), SnapshotRequest(snapshot, 0, 3, 1))
+        for (content in contents + ReplicaMessageContent.JoinRequest) {
+            val message = ReplicaMessage(addresses[0], null, 3, content)
+            val bytes = Cbor.encodeToByteArray(ReplicaMessage.serializer(), message)
+            val decoded = Cbor.decodeFromByteArray(ReplicaMessage.serializer(), bytes)
+            expectThat(decoded.toString()).isEqualTo(message.toString())
+        }
+    }
+}
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulatedNode.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulatedNode.kt
@@ -7,7 +7,13 @@
 import kotlin.random.Random
 
 /** Faults that are planted to show that the checks can fail. */
-internal enum class PlantedFault { NONE, ACKNOWLEDGE_BEFORE_SYNC, VOTE_WITH_EMPTIED_DISK, SKIP_TERM_CHECK, READ_WITHOUT_QUORUM }
+internal enum class PlantedFault {
+    NONE,
+    ACKNOWLEDGE_BEFORE_SYNC,
+    VOTE_WITH_EMPTIED_DISK,
+    SKIP_TERM_CHECK,
+    READ_WITHOUT_QUORUM,
+}
 
 /** One instance with its disk, clock and replica, driven by a [Simulation]. */
 internal class SimulatedNode(
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationMain.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationMain.kt
@@ -26,8 +26,9 @@
             }
         }
     }.forEach { it.join() }
+    val seconds = start.elapsedNow().inWholeSeconds
     println(
-        "seeds=$first..${first + count - 1} fault=$fault failures=$failures seconds=${start.elapsedNow().inWholeSeconds}",
+        "seeds=$first..${first + count - 1} fault=$fault failures=$failures seconds=$seconds",
     )
     println("totals=$totals")
     if (failures.get() > 0) exitProcess(1)
