Split the fault injection of the simulation

Change: faults of replicas and of the environment are in functions of their own, with the same random draws.

--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -114,29 +114,43 @@
 
     private fun injectFault() {
         val node = nodes[random.nextInt(nodes.size)]
-        when (random.nextInt(240)) {
-            0, 1, 2 -> if (node.replica != null) note("crash", node) { node.crash() }
-            39 -> nodes.filter {
-                it.replica != null && random.nextBoolean()
-            }.forEach { note("crash", it) { it.crash() } }
-            in 3..18 -> if (node.replica == null) note("start", node) { node.start() }
+        val kind = random.nextInt(FAULT_KINDS)
+        injectReplicaFault(kind, node)
+        injectEnvironmentFault(kind, node)
+    }
+
+    private fun injectReplicaFault(kind: Int, node: SimulatedNode) {
+        val running = node.replica != null
+        when (kind) {
+            0, 1, 2 -> if (running) note("crash", node) { node.crash() }
+            in 3..18 -> if (!running) note("start", node) { node.start() }
             19, 20 -> note("pause", node) { node.pausedUntil = step + random.nextInt(60) }
+            in 31..34 -> if (mayLoseDisk(node)) note("replace disk", node) { replaceDisk(node) }
+            35, 36 -> changeMembership(node)
+            37 -> if (running) note("fail syncs", node) { node.files.failSyncs = true }
+            39 -> crashSeveral()
+        }
+    }
+
+    private fun injectEnvironmentFault(kind: Int, node: SimulatedNode) {
+        when (kind) {
             21, 22 -> partition()
             23, 24, 25 -> cut.clear()
             26 -> cut += node.instance to instances[random.nextInt(INSTANCES)]
             27 -> lossPercent = random.nextInt(30)
             28 -> maximumDelay = 1 + random.nextInt(if (random.nextBoolean()) 5 else 40)
-            38, 40 -> nodes.find { it.replica?.isLeader == true }?.let { it.pausedUntil = step + random.nextInt(60) }
-            41 -> syncPercent = 5 + random.nextInt(95)
             29 -> node.clockRate = 0.5 + random.nextDouble() * 1.5
             30 -> node.wallMilliseconds += random.nextLong(-5_000, 5_000)
-            in 31..34 -> if (mayLoseDisk(node)) note("replace disk", node) { replaceDisk(node) }
-            35, 36 -> changeMembership(node)
-            37 -> if (node.replica != null) note("fail syncs", node) { node.files.failSyncs = true }
-            else -> Unit
+            38, 40 -> nodes.find { it.replica?.isLeader == true }?.let { it.pausedUntil = step + random.nextInt(60) }
+            41 -> syncPercent = 5 + random.nextInt(95)
         }
     }
 
+    private fun crashSeveral() {
+        val chosen = nodes.filter { it.replica != null && random.nextBoolean() }
+        chosen.forEach { note("crash", it) { it.crash() } }
+    }
+
     private fun partition() {
         cut.clear()
         val side = instances.filter { random.nextBoolean() }.toSet()
@@ -189,6 +203,9 @@
 
     companion object {
         private const val INSTANCES = 5
+
+        /** The numbers without a fault keep the mean time between faults at about 6 steps. */
+        private const val FAULT_KINDS = 240
         private const val VOTERS = 3
         private const val STEPS = 400
         private const val HEALING_STEPS = 1_000
