--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
@@ -45,7 +45,7 @@
     control: ControlClient,
     private val events: EventRecorder,
     private val clock: () -> Moment,
-    private val random: Random,
+    random: Random,
     incarnation: Incarnation,
     private val policies: EntryPolicies = EntryPolicies(),
     private val linkLimits: LinkLimits = LinkLimits(),
@@ -53,6 +53,7 @@
     private val configure: (ServerBuilder) -> Unit = {},
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val random: Random = SynchronizedRandom(random)
     private val hello =
         LinkMessage.Hello(
             LinkLimits.PROTOCOL_VERSION,
@@ -61,8 +62,8 @@
             settings.failureDomain,
             settings.roles,
         )
-    private val links = SidecarLinks(policies.router, policies.leaving, events, clock, random)
-    private val runner = RequestRunner(links, policies.retry, policies.budget, events, clock, random)
+    private val links = SidecarLinks(policies.router, policies.leaving, events, clock, this.random)
+    private val runner = RequestRunner(links, policies.retry, policies.budget, events, clock, this.random)
     private val ledger = LedgerClient(control)
     private val peers = PeerCaller()
     private val tools = DraftTools(ledger, runner, policies, events, clock, links)
@@ -144,8 +145,7 @@
     }
 
     private fun open(endpoint: Endpoint, handler: LinkHandler) {
-        val seed = synchronized(random) { random.nextLong() }
-        val client = LinkClient(endpoint, hello, handler, ::heartbeat, clock, Random(seed), linkLimits)
+        val client = LinkClient(endpoint, hello, handler, ::heartbeat, clock, random, linkLimits)
         clients += client
         client.start()
     }
