Send only what a live caller sets

Cause: the stand-in live caller sent resume_tokens=0, which the entry refuses because only the service may set it. Change: requests to an entry carry only the members that differ from their defaults.

--- a/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
@@ -6,7 +6,7 @@
 import org.zinniahoist.standin.engine.AnswerCheck
 import org.zinniahoist.standin.engine.ChatMessage
 import org.zinniahoist.standin.engine.CompletionRequest
-import org.zinniahoist.standin.http.standInJson
+import org.zinniahoist.standin.http.callerJson
 import java.net.URI
 import java.util.concurrent.CompletableFuture
 
@@ -77,7 +77,7 @@
         headers: Map<String, String>,
     ): CompletableFuture<LiveOutcome> {
         val reader = EventReader { text, tokens -> AnswerCheck.problem(request.fullPrompt, text, tokens) }
-        client.send(HttpMethod.POST, path, standInJson.encodeToString(request), headers).subscribe(reader)
+        client.send(HttpMethod.POST, path, callerJson.encodeToString(request), headers).subscribe(reader)
         return reader.outcome
     }
 }
--- a/standin/src/main/kotlin/org/zinniahoist/standin/http/Json.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/http/Json.kt
@@ -16,6 +16,9 @@
         encodeDefaults = true
     }
 
+/** JSON format of requests to an entry, which carry only the members that differ from their defaults. */
+internal val callerJson: Json = Json { ignoreUnknownKeys = true }
+
 internal inline fun <reified T> jsonResponse(value: T, status: HttpStatus = HttpStatus.OK): HttpResponse =
     HttpResponse.of(status, MediaType.JSON, standInJson.encodeToString(value))
 
