Connect the operators' interface, the time line and drains

Cause: the operators' HTTP interface, the time line and drain requests had no place in the daemon. Change: control serves /control/v1, daemons serve /timeline, a drain request reaches its instance over its link.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/ControlPeers.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/ControlPeers.kt
@@ -21,6 +21,7 @@
     private val scope: CoroutineScope,
     private val upstream: InstanceName?,
     private val replicas: ControlLinks?,
+    private val onDrain: () -> Unit,
 ) : LinkHandler {
     /** Set once the sidecar exists, which needs the client of these links. */
     @Volatile
@@ -41,6 +42,7 @@
                 }
             }
             is ControlMessage.OrdersUpdate -> sidecar?.onMessage(link, message)
+            is ControlMessage.Drain -> onDrain()
             is LinkMessage.Heartbeat -> if (message.settingsRevision > follower.revision) subscribe(link)
             else -> Unit
         }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/ControlRole.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/ControlRole.kt
@@ -6,9 +6,11 @@
 import kotlinx.coroutines.launch
 import org.zinniahoist.daemon.control.ControlClient
 import org.zinniahoist.daemon.control.ControlGroups
+import org.zinniahoist.daemon.control.ControlHttp
 import org.zinniahoist.daemon.control.ControlLinks
 import org.zinniahoist.daemon.control.EngineObserver
 import org.zinniahoist.daemon.control.GroupName
+import org.zinniahoist.daemon.control.ObservedProcess
 import org.zinniahoist.daemon.control.RolloutCoordinator
 import org.zinniahoist.daemon.control.SettingsPublisher
 import org.zinniahoist.daemon.timeline.EventRecorder
@@ -17,7 +19,12 @@
 import org.zinniahoist.policy.rollout.WavePlanner
 import org.zinniahoist.settings.DaemonSettings
 import org.zinniahoist.state.coordination.CoordinationStateMachine
+import org.zinniahoist.state.report.GroupReport
+import org.zinniahoist.state.report.ProcessLoad
+import org.zinniahoist.state.report.ProcessReport
+import org.zinniahoist.state.report.StatusReport
 import java.nio.file.Path
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 /** The role `control`: replicas of the durable state, distribution of settings, rollouts. */
@@ -45,7 +52,7 @@
     fun open() {
         val control = checkNotNull(settings.control) { "role control without section [control]" }
         val folder = Path.of(checkNotNull(settings.dataFolder) { "role control without data-folder" })
-        val coordination = CoordinationStateMachine(publisher::onCommitted)
+        val coordination = CoordinationStateMachine(publisher::onCommitted, links::onDrainingChanged)
         val opened = ControlGroups.open(settings.name, control, folder, coordination, links::transport)
             .fold({ throw DaemonStartFailure(it.message) }, { it })
         groups = opened
@@ -55,16 +62,35 @@
     }
 
     /** Adds the operators' interface to the HTTP server. */
-    @Suppress("UnusedParameter")
-    fun configure(builder: ServerBuilder) = Unit
+    fun configure(builder: ServerBuilder): Unit = ControlHttp(client, ::status).configure(builder)
 
     override fun close() {
         groups?.close()
     }
 
+    private fun status(): StatusReport {
+        val now = clock()
+        return StatusReport.of(
+            reporter = settings.name,
+            timeMilliseconds = System.currentTimeMillis(),
+            revision = revision,
+            groups = groups?.statuses().orEmpty().map { (name, status) -> GroupReport.of(name, status) },
+            processes = observer.observed().map { process(it, now) },
+        )
+    }
+
+    private fun process(observed: ObservedProcess, now: Moment) = ProcessReport(
+        instance = observed.hello.instance,
+        roles = observed.hello.roles,
+        revision = observed.heartbeat.settingsRevision,
+        draining = observed.heartbeat.draining,
+        load = observed.heartbeat.load?.let { ProcessLoad(it.running, it.waiting) },
+        heartbeatAgeMilliseconds = (now - observed.receivedAt).inWholeMilliseconds,
+    )
+
     private fun leadsSettings(): Boolean = groups?.statuses()?.get(GroupName.SETTINGS)?.isLeader ?: false
 
-    private suspend fun repeat(interval: kotlin.time.Duration, action: suspend () -> Unit) {
+    private suspend fun repeat(interval: Duration, action: suspend () -> Unit) {
         while (true) {
             action()
             delay(interval)
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
@@ -30,6 +30,7 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -72,9 +73,16 @@
     private var linkServer: LinkServer? = null
     private var server: Server? = null
 
+    private val drainStarted = AtomicBoolean()
+
     @Volatile
     private var draining = false
 
+    /** Whether a graceful stop has ended. */
+    @Volatile
+    public var isStopped: Boolean = false
+        private set
+
     /** Address of the HTTP server, once it is started. */
     public val httpEndpoint: Endpoint
         get() = entry?.httpEndpoint ?: Endpoint(settings.listenHost, checkNotNull(server).activeLocalPort())
@@ -97,7 +105,8 @@
         val accepting = LinkServer(bind, hello, links, ::heartbeat, clock)
         linkServer = accepting
         linkEndpoint = accepting.start()
-        val peers = ControlPeers(control, follower, scope, settings.name.takeIf { sidecar != null }, role?.links)
+        val upstream = settings.name.takeIf { sidecar != null }
+        val peers = ControlPeers(control, follower, scope, upstream, role?.links, ::drainInBackground)
         peers.sidecar = sidecar
         settings.peers.values.forEach { endpoint ->
             clients +=
@@ -110,8 +119,9 @@
         events.record("daemon-started", "instance" to settings.name, "roles" to settings.roles.joinToString("+"))
     }
 
-    /** Stops gracefully: no new work is accepted, work in flight finishes, links close. */
+    /** Stops gracefully: no new work is accepted, work in flight finishes, links close. Repeated calls do nothing. */
     public suspend fun drain() {
+        if (!drainStarted.compareAndSet(false, true)) return
         draining = true
         events.record("daemon-draining", "instance" to settings.name)
         entry?.drain()
@@ -120,6 +130,7 @@
         linkServer?.stop("draining")
         close()
         events.record("daemon-stopped", "instance" to settings.name)
+        isStopped = true
     }
 
     /** Stops at once. */
@@ -152,6 +163,11 @@
         },
     )
 
+    /** The scope of the daemon ends with the drain, so that the drain runs in a scope of its own. */
+    private fun drainInBackground() {
+        CoroutineScope(Dispatchers.Default).launch { drain() }
+    }
+
     private suspend fun readSettings() {
         while (scope.isActive && !follower.readFromGroup()) delay(SETTINGS_RETRY)
     }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Main.kt
@@ -9,11 +9,14 @@
 import kotlinx.coroutines.runBlocking
 import org.slf4j.LoggerFactory
 import org.zinniahoist.daemon.control.ControlGroups
-import org.zinniahoist.daemon.timeline.LogRecorder
+import org.zinniahoist.daemon.timeline.HybridClock
+import org.zinniahoist.daemon.timeline.TimelineHttp
+import org.zinniahoist.daemon.timeline.TimelineRecorder
 import org.zinniahoist.settings.DaemonSettings
 import org.zinniahoist.settings.DaemonSettingsReader
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 import kotlin.system.exitProcess
 
 /** Starts a daemon and stops it gracefully when the process is asked to end. */
@@ -63,7 +66,8 @@
 
 private fun run(settings: DaemonSettings) {
     (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger).level = Level.valueOf(settings.logLevel.uppercase())
-    val daemon = Daemon(settings, LogRecorder(settings.name.value))
+    val timeline = TimelineRecorder(settings.name, HybridClock(System::currentTimeMillis))
+    val daemon = Daemon(settings, timeline, configure = TimelineHttp(timeline)::configure)
     val stopped = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(
         Thread {
@@ -76,7 +80,8 @@
     } catch (failure: DaemonStartFailure) {
         fail(ExitCode.START_FAILED, failure.message.orEmpty())
     }
-    stopped.await()
+    while (!daemon.isStopped && stopped.count > 0) stopped.await(STOP_CHECK_MILLISECONDS, TimeUnit.MILLISECONDS)
+    if (daemon.isStopped) exitProcess(0)
 }
 
 private fun fail(code: ExitCode, message: String): Nothing {
@@ -84,6 +89,8 @@
     exitProcess(code.value)
 }
 
+private const val STOP_CHECK_MILLISECONDS = 500L
+
 /** Exit codes of the daemon. */
 private enum class ExitCode(val value: Int) {
     START_FAILED(1),
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/ControlLinks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/ControlLinks.kt
@@ -17,6 +17,9 @@
     private val replicas = ConcurrentHashMap<InstanceName, LinkConnection>()
     private val subscribers = ConcurrentHashMap<LinkConnection, ControlMessage.Subscribe>()
 
+    @Volatile
+    private var draining: Set<InstanceName> = emptySet()
+
     @Volatile
     private var groups: ControlGroups? = null
 
@@ -51,15 +54,25 @@
             is ControlMessage.Subscribe -> {
                 subscribers[link] = message
                 update(link, message)
+                if (link.peer.instance in draining) link.offer(ControlMessage.Drain(link.peer.instance))
             }
 
             is ControlMessage.ControlReply,
             is ControlMessage.SettingsUpdate,
+            is ControlMessage.Drain,
             is ControlMessage.OrdersUpdate,
             -> Unit
         }
     }
 
+    /** Tells the subscribers among [instances] to stop gracefully, now and when they subscribe again. */
+    public fun onDrainingChanged(instances: Set<InstanceName>) {
+        draining = instances
+        subscribers.keys.filter { it.peer.instance in instances }.forEach {
+            it.offer(ControlMessage.Drain(it.peer.instance))
+        }
+    }
+
     /** Sends the latest tree to each subscriber that was sent an older one. */
     public fun notifySubscribers(): Unit = subscribers.forEach { (link, subscription) -> update(link, subscription) }
 
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
@@ -6,7 +6,9 @@
 import kotlinx.cli.default
 import kotlinx.coroutines.runBlocking
 import org.zinniahoist.daemon.timeline.EventRecorder
-import org.zinniahoist.daemon.timeline.LogRecorder
+import org.zinniahoist.daemon.timeline.HybridClock
+import org.zinniahoist.daemon.timeline.TimelineRecorder
+import org.zinniahoist.model.InstanceName
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicBoolean
@@ -26,10 +28,11 @@
     private val verbose by option(ArgType.Boolean, "verbose", description = "Writes the event log").default(false)
 
     override fun execute() {
+        val clock = HybridClock(System::currentTimeMillis)
         val folder = Files.createTempDirectory("zinniahoist-quickstart")
         val stop = AtomicBoolean()
         val cluster = QuickstartCluster(folder, rate) { name ->
-            if (verbose) LogRecorder(name) else EventRecorder { _, _ -> }
+            if (verbose) TimelineRecorder(InstanceName(name), clock) else EventRecorder { _, _ -> }
         }
         val hook = Thread { stop.set(true) }
         Runtime.getRuntime().addShutdownHook(hook)
--- a/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
@@ -14,8 +14,12 @@
  * The replicated state of the `settings` group: settings tree, weight versions, orders and drains.
  *
  * @param onTreeChanged called on the replica's thread with each tree that becomes the committed one.
+ * @param onDrainingChanged called on the replica's thread with the instances that are to drain.
  */
-public class CoordinationStateMachine(private val onTreeChanged: (SettingsTree) -> Unit = {}) : StateMachine {
+public class CoordinationStateMachine(
+    private val onTreeChanged: (SettingsTree) -> Unit = {},
+    private val onDrainingChanged: (Set<InstanceName>) -> Unit = {},
+) : StateMachine {
     private val edits = EditLedger()
     private val published = HashMap<ModelName, Set<WeightVersion>>()
     private val withdrawn = HashMap<ModelName, Set<WeightVersion>>()
@@ -59,6 +63,7 @@
         draining.clear()
         draining.addAll(state.draining)
         onTreeChanged(edits.tree)
+        onDrainingChanged(draining.toSet())
     }
 
     /** Performs [command] at position [index] of the log. */
@@ -82,9 +87,12 @@
                 CoordinationAnswer.Ordered(token)
             }
 
-            is CoordinationCommand.SetDraining -> CoordinationAnswer.Done(
-                if (command.draining) draining.add(command.instance) else draining.remove(command.instance),
-            )
+            is CoordinationCommand.SetDraining -> {
+                val changed =
+                    if (command.draining) draining.add(command.instance) else draining.remove(command.instance)
+                if (changed) onDrainingChanged(draining.toSet())
+                CoordinationAnswer.Done(changed)
+            }
         }
 
     /** Answers [query] from the present state. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ControlMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ControlMessage.kt
@@ -58,6 +58,11 @@
         @ByteString public val content: ByteArray,
     ) : ControlMessage
 
+    /** Tells a subscriber to stop gracefully. */
+    @Serializable
+    @SerialName("drain")
+    public data class Drain(public val instance: InstanceName) : ControlMessage
+
     /** Orders with their fencing tokens for the subscriber's upstream, encoded as a list. */
     @Serializable
     @SerialName("orders-update")
