--- a/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/client/LiveCaller.kt
@@ -3,10 +3,10 @@
 import com.linecorp.armeria.client.ClientFactory
 import com.linecorp.armeria.common.HttpMethod
 import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
 import org.zinniahoist.standin.engine.AnswerCheck
 import org.zinniahoist.standin.engine.ChatMessage
 import org.zinniahoist.standin.engine.CompletionRequest
-import org.zinniahoist.standin.http.standInJson
 import java.net.URI
 import java.util.concurrent.CompletableFuture
 
@@ -77,7 +77,12 @@
         headers: Map<String, String>,
     ): CompletableFuture<LiveOutcome> {
         val reader = EventReader { text, tokens -> AnswerCheck.problem(request.fullPrompt, text, tokens) }
-        client.send(HttpMethod.POST, path, standInJson.encodeToString(request), headers).subscribe(reader)
+        client.send(HttpMethod.POST, path, requestJson.encodeToString(request), headers).subscribe(reader)
         return reader.outcome
     }
+
+    private companion object {
+        // Members with default values are left out, because entries refuse those that only they set.
+        private val requestJson = Json { encodeDefaults = false }
+    }
 }
--- a/standin/src/main/kotlin/org/zinniahoist/standin/client/TrainerClient.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/client/TrainerClient.kt
@@ -76,7 +76,7 @@
             val answer = fetch(cursor)
             if (answer is TrainerAnswer.Accepted) {
                 val received = answer.value.samples.map { it.identifier }
-                if (received.isNotEmpty()) acknowledge(received)
+                if (received.isNotEmpty()) acknowledgeUntilAccepted(received, giveUp)
                 cursor = answer.value.cursor
             } else {
                 cursor = ""
@@ -86,6 +86,10 @@
         return tally.missing(trainer, step)
     }
 
+    private fun acknowledgeUntilAccepted(identifiers: List<String>, giveUp: () -> Boolean) {
+        while (acknowledge(identifiers) !is TrainerAnswer.Accepted && !giveUp()) Thread.sleep(RETRY_MILLISECONDS)
+    }
+
     private fun <T> call(
         method: HttpMethod,
         path: String,
--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/CompletionRequest.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/CompletionRequest.kt
@@ -12,7 +12,7 @@
     val stream: Boolean = false,
     val seed: Long = 0,
     @SerialName("max_tokens") val maximumTokens: Int? = null,
-    @SerialName("resume_tokens") val resumeTokens: Int = 0,
+    @SerialName("resume_tokens") val resumeTokens: Int? = null,
     @SerialName("kv_handle") val kvHandle: String? = null,
     @SerialName("request_id") val requestIdentifier: String? = null,
 ) {
--- a/standin/src/main/kotlin/org/zinniahoist/standin/engine/CompletionService.kt
+++ b/standin/src/main/kotlin/org/zinniahoist/standin/engine/CompletionService.kt
@@ -27,7 +27,7 @@
         if (body.kvHandle != null && handle?.belongsTo(answer) != true) {
             return errorResponse(HttpStatus.BAD_REQUEST, "kv_handle belongs to another request")
         }
-        val position = maxOf(body.resumeTokens, handle?.tokens ?: 0)
+        val position = body.resumeTokens ?: handle?.tokens ?: 0
         if (position !in 0 until answer.tokens) {
             return errorResponse(HttpStatus.BAD_REQUEST, "the answer has no token at position $position")
         }
