Read one state of the fake link when a test waits for an end

Cause: FakeLink.end() looked for the end in an older list of messages than the one its condition had read. Change: condition and result use the same list. Conclusion: the fault was in the fake, not in the sidecar.

--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -3,7 +3,6 @@
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.update
-import org.zinniahoist.model.AttemptIdentifier
 import org.zinniahoist.model.FailureDomain
 import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.InstanceName
@@ -63,12 +62,10 @@
 
     /** Waits for the end of [attempt]. Fails if the link was closed without one. */
     suspend fun end(attempt: String): AttemptEnd = received
-        .first { it.any { message -> message is LinkMessage.Goodbye } || hasEnded(attempt) }
-        .filterIsInstance<AttemptEnd>()
-        .single { it.attempt.value == attempt }
+        .first { messages -> messages.any { it is LinkMessage.Goodbye || isEndOf(attempt, it) } }
+        .single { isEndOf(attempt, it) } as AttemptEnd
 
-    fun hasEnded(attempt: String): Boolean =
-        received.value.any { it is AttemptEnd && it.attempt == AttemptIdentifier(attempt) }
+    fun hasEnded(attempt: String): Boolean = received.value.any { isEndOf(attempt, it) }
 
     /** Breaks the link. */
     fun lose() {
@@ -76,6 +73,8 @@
         sidecar.onClosed(this, LinkCloseCause.Silent)
     }
 
+    private fun isEndOf(attempt: String, message: Message) = message is AttemptEnd && message.attempt.value == attempt
+
     private fun chunksIn(messages: List<Message>, attempt: String) =
         messages.filterIsInstance<AttemptChunk>().filter { it.attempt.value == attempt }
 
