--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -34,6 +34,12 @@
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
     private var lastJoinRequest: Moment = now
+
+    /**
+     * True once a candidate with an older log asked this replica. A learner in this position must campaign: the
+     * candidate may count it as a voter by a later promotion, and can't win without it.
+     */
+    private var refusedOlderLog = false
     private var snapshotRequestedIndex = context.commitIndex
 
     /** Identity and instance of this replica. */
@@ -95,11 +101,12 @@
 
     private fun onTick() {
         val leading = leader
-        when {
-            leading != null -> if (!leading.onTick()) becomeFollower(term, null)
-            context.isVoter -> if (election.isDue) campaign()
-            else -> requestToJoin()
+        if (leading != null) {
+            if (!leading.onTick()) becomeFollower(term, null)
+            return
         }
+        if (election.isDue && (context.mayCampaign || refusedOlderLog)) campaign()
+        requestToJoin()
     }
 
     private fun campaign() {
@@ -124,7 +131,10 @@
         when (content) {
             is JoinRequest -> leader?.onJoin(message.from)
 
-            is PreVoteRequest -> election.answerPreVote(message.from, content, leaderIsAlive())
+            is PreVoteRequest -> {
+                if (!context.log.isUpToDate(content.lastIndex, content.lastTerm)) refusedOlderLog = true
+                election.answerPreVote(message.from, content, leaderIsAlive())
+            }
 
             is PreVoteResponse -> {
                 if (message.term > term) becomeFollower(message.term, null)
@@ -176,6 +186,7 @@
         election.cancel()
         election.resetDeadline()
         lastLeaderContact = context.now
+        refusedOlderLog = false
     }
 
     /** Answers the request of an old leader or candidate, so that it learns the present term. */
--- a/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/coordination/CoordinationStateMachine.kt
@@ -10,8 +10,16 @@
 import org.zinniahoist.state.StateCodec
 import java.util.TreeMap
 
-/** The replicated state of the `settings` group: settings tree, weight versions, orders and drains. */
-public class CoordinationStateMachine : StateMachine {
+/**
+ * The replicated state of the `settings` group: settings tree, weight versions, orders and drains.
+ *
+ * @param onTreeChanged called on the replica's thread with each tree that becomes the committed one.
+ * @param onDrainingChanged called on the replica's thread with the instances that are to drain.
+ */
+public class CoordinationStateMachine(
+    private val onTreeChanged: (SettingsTree) -> Unit = {},
+    private val onDrainingChanged: (Set<InstanceName>) -> Unit = {},
+) : StateMachine {
     private val edits = EditLedger()
     private val published = HashMap<ModelName, Set<WeightVersion>>()
     private val withdrawn = HashMap<ModelName, Set<WeightVersion>>()
@@ -54,12 +62,14 @@
         state.orders.forEach { (upstream, byKind) -> orders[upstream] = TreeMap(byKind) }
         draining.clear()
         draining.addAll(state.draining)
+        onTreeChanged(edits.tree)
+        onDrainingChanged(draining.toSet())
     }
 
     /** Performs [command] at position [index] of the log. */
     public fun perform(index: Long, timeMilliseconds: Long, command: CoordinationCommand): CoordinationAnswer =
         when (command) {
-            is CoordinationCommand.Edit -> CoordinationAnswer.Edited(edits.submit(command.edit, timeMilliseconds))
+            is CoordinationCommand.Edit -> edit(command, timeMilliseconds)
 
             is CoordinationCommand.PublishVersion -> {
                 published.merge(command.model, setOf(command.version)) { known, added -> known + added }
@@ -77,9 +87,12 @@
                 CoordinationAnswer.Ordered(token)
             }
 
-            is CoordinationCommand.SetDraining -> CoordinationAnswer.Done(
-                if (command.draining) draining.add(command.instance) else draining.remove(command.instance),
-            )
+            is CoordinationCommand.SetDraining -> {
+                val changed =
+                    if (command.draining) draining.add(command.instance) else draining.remove(command.instance)
+                if (changed) onDrainingChanged(draining.toSet())
+                CoordinationAnswer.Done(changed)
+            }
         }
 
     /** Answers [query] from the present state. */
@@ -101,6 +114,13 @@
         )
     }
 
+    private fun edit(command: CoordinationCommand.Edit, timeMilliseconds: Long): CoordinationAnswer {
+        val before = edits.tree.revision
+        val result = edits.submit(command.edit, timeMilliseconds)
+        if (edits.tree.revision != before) onTreeChanged(edits.tree)
+        return CoordinationAnswer.Edited(result)
+    }
+
     private fun target(model: ModelName): WeightVersion? =
         (published[model].orEmpty() - withdrawn[model].orEmpty()).maxOrNull()
 
