Let ready senders share a flush on a link

The writer of a link flushed as soon as its queue was empty, often after each frame. It now yields once first.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.yield
 import org.zinniahoist.model.Moment
 import java.io.IOException
 
@@ -146,7 +147,7 @@
 
     private suspend fun write(): LinkCloseCause {
         while (true) {
-            val frame = heartbeats.tryReceive().getOrNull() ?: queue.tryReceive().getOrNull() ?: nextFrame() ?: break
+            val frame = queued() ?: afterYield() ?: nextFrame() ?: break
             frames.write(frame)
         }
         withTimeoutOrNull(limits.closeTimeout) {
@@ -156,6 +157,14 @@
         return LinkCloseCause.Local
     }
 
+    private fun queued(): ByteArray? = heartbeats.tryReceive().getOrNull() ?: queue.tryReceive().getOrNull()
+
+    /** Lets senders that are ready queue their frames, so that one flush takes several. */
+    private suspend fun afterYield(): ByteArray? {
+        yield()
+        return queued()
+    }
+
     private suspend fun nextFrame(): ByteArray? {
         frames.flush()
         return select {
