Share crash records between sidecars through the ledger

Cause: each sidecar counted the crashes of its own engine only, so that a repeated poison request could crash every engine of the region.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import org.zinniahoist.daemon.control.LedgerClient
 import org.zinniahoist.daemon.control.RemoteControlClient
 import org.zinniahoist.daemon.control.SettingsFollower
 import org.zinniahoist.daemon.entry.Entry
@@ -145,7 +146,8 @@
         scope.cancel()
     }
 
-    private fun createSidecar() = Sidecar(settings, follower, control, policies.sidecar(), events, clock, random)
+    private fun createSidecar() =
+        Sidecar(settings, follower, control, policies.sidecar(LedgerClient(control)), events, clock, random)
 
     private fun createEntry() = Entry(
         settings = settings,
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/DaemonPolicies.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/DaemonPolicies.kt
@@ -1,7 +1,10 @@
 package org.zinniahoist.daemon
 
+import org.zinniahoist.daemon.control.GroupName
+import org.zinniahoist.daemon.control.LedgerClient
 import org.zinniahoist.daemon.entry.EntryPolicies
 import org.zinniahoist.daemon.sidecar.LocalCrashReports
+import org.zinniahoist.daemon.sidecar.SharedCrashReports
 import org.zinniahoist.daemon.sidecar.SidecarPolicies
 import org.zinniahoist.policy.admission.FairShareQueue
 import org.zinniahoist.policy.admission.PaceConcurrencyLimiter
@@ -16,7 +19,7 @@
 /** Makes the decision objects of a daemon's roles. */
 public class DaemonPolicies(
     internal val entry: () -> EntryPolicies,
-    internal val sidecar: () -> SidecarPolicies,
+    internal val sidecar: (LedgerClient) -> SidecarPolicies,
 ) {
     public companion object {
         /** The policies that are chosen by measurement. */
@@ -30,9 +33,14 @@
                     scheduler = ::LongestFirstScheduler,
                 )
             },
-            sidecar = {
+            sidecar = { ledger ->
                 SidecarPolicies(
-                    crashReports = LocalCrashReports(settings.name, CrashCountingRegistry()),
+                    crashReports = SharedCrashReports(
+                        instance = settings.name,
+                        group = GroupName.ledger(settings.failureDomain.region),
+                        ledger = ledger,
+                        local = LocalCrashReports(settings.name, CrashCountingRegistry()),
+                    ),
                     queue = FairShareQueue(),
                     limiter = PaceConcurrencyLimiter(),
                 )
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashReports.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashReports.kt
@@ -20,6 +20,9 @@
 
     /** Records that the upstream crashed with the requests [inFlight]. Their runs need no [onEnd]. */
     public suspend fun onCrash(inFlight: Set<Fingerprint>, now: Moment)
+
+    /** Reads the records of other sidecars. */
+    public suspend fun refresh(): Unit = Unit
 }
 
 /** Keeps the records in this process only. A restart forgets them, and other sidecars don't see them. */
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/Sidecar.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/Sidecar.kt
@@ -43,7 +43,7 @@
     private val settings: DaemonSettings,
     private val inForce: SettingsInForce,
     control: ControlClient,
-    policies: SidecarPolicies,
+    private val policies: SidecarPolicies,
     private val events: EventRecorder,
     private val clock: () -> Moment,
     random: Random,
@@ -73,6 +73,7 @@
         scope.launch { repeatEvery(TICK) { tick() } }
         scope.launch { repeatEvery(REFRESH_INTERVAL) { parts.monitor.refresh() } }
         scope.launch { repeatEvery(ORDERS_INTERVAL) { parts.orders.read() } }
+        scope.launch { repeatEvery(SharedCrashReports.REFRESH_INTERVAL) { policies.crashReports.refresh() } }
     }
 
     /** Stops gracefully: refuses new work, lets attempts and the reports of their outcomes finish, closes links. */
--- a/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerAnswer.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerAnswer.kt
@@ -4,6 +4,7 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.TrainerName
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.crashes.SuspectStart
 import org.zinniahoist.state.idempotency.ClaimResult
 import org.zinniahoist.state.samples.Deliverable
 import org.zinniahoist.state.samples.LeaseResult
@@ -60,6 +61,14 @@
         public val openTrainers: Int,
     ) : LedgerAnswer
 
+    /** Answer to [LedgerCommand.StartSuspect]. */
+    @Serializable
+    public data class SuspectStarted(public val start: SuspectStart) : LedgerAnswer
+
+    /** Answer to [LedgerQuery.ReadSuspects]: number of crashes by fingerprint. */
+    @Serializable
+    public data class Suspects(public val crashes: Map<Long, Int>) : LedgerAnswer
+
     /** The command or query could not be decoded. */
     @Serializable
     public data class Malformed(public val cause: String) : LedgerAnswer
--- a/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerCommand.kt
@@ -87,4 +87,23 @@
         public val trainer: TrainerName,
         public val version: WeightVersion,
     ) : LedgerCommand
+
+    /** Records that an upstream crashed with these requests on it. Answered by [LedgerAnswer.Done]. */
+    @Serializable
+    public data class ReportCrash(public val fingerprints: Set<Long>) : LedgerCommand
+
+    /** Starts a suspected request. Answered by [LedgerAnswer.SuspectStarted]. */
+    @Serializable
+    public data class StartSuspect(
+        public val fingerprint: Long,
+        public val instance: InstanceName,
+    ) : LedgerCommand
+
+    /** Ends the run of a suspected request without a crash. Answered by [LedgerAnswer.Done]. */
+    @Serializable
+    public data class EndSuspect(
+        public val fingerprint: Long,
+        public val instance: InstanceName,
+        public val finished: Boolean,
+    ) : LedgerCommand
 }
--- a/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerQuery.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerQuery.kt
@@ -25,4 +25,8 @@
     /** Reads the sizes of the ledgers. Answered by [LedgerAnswer.Sizes]. */
     @Serializable
     public data object ReadSizes : LedgerQuery
+
+    /** Reads the requests that are suspected of crashing upstreams. Answered by [LedgerAnswer.Suspects]. */
+    @Serializable
+    public data object ReadSuspects : LedgerQuery
 }
--- a/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/ledger/LedgerStateMachine.kt
@@ -4,15 +4,18 @@
 import org.zinniahoist.consensus.StateMachine
 import org.zinniahoist.model.FencingToken
 import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.crashes.CrashLedger
+import org.zinniahoist.state.crashes.CrashState
 import org.zinniahoist.state.idempotency.IdempotencyLedger
 import org.zinniahoist.state.idempotency.IdempotencyState
 import org.zinniahoist.state.samples.SampleLedger
 import org.zinniahoist.state.samples.SampleState
 
-/** The replicated state of a `ledger` group: idempotency keys and samples. */
+/** The replicated state of a `ledger` group: idempotency keys, samples and crashes. */
 public class LedgerStateMachine(
     private val idempotency: IdempotencyLedger = IdempotencyLedger(),
     private val samples: SampleLedger = SampleLedger(),
+    private val crashes: CrashLedger = CrashLedger(),
 ) : StateMachine {
     override fun apply(index: Long, timeMilliseconds: Long, command: ByteArray): ByteArray {
         val answer = runCatching { StateCodec.decode<LedgerCommand>(command) }
@@ -27,12 +30,13 @@
     }
 
     override fun snapshot(): ByteArray =
-        StateCodec.encode(LedgerState(idempotency = idempotency.capture(), samples = samples.capture()))
+        StateCodec.encode(LedgerState(idempotency.capture(), samples.capture(), crashes.capture()))
 
     override fun restore(snapshot: ByteArray) {
         val state = StateCodec.decode<LedgerState>(snapshot)
         idempotency.restore(state.idempotency)
         samples.restore(state.samples)
+        crashes.restore(state.crashes)
     }
 
     /** Performs [command] at position [index] of the log. */
@@ -67,6 +71,20 @@
             samples.acknowledge(command.trainer, command.samples),
         )
 
+        is LedgerCommand.ReportCrash -> {
+            crashes.report(command.fingerprints, timeMilliseconds)
+            LedgerAnswer.Done(changed = true)
+        }
+
+        is LedgerCommand.StartSuspect -> LedgerAnswer.SuspectStarted(
+            crashes.start(command.fingerprint, command.instance, timeMilliseconds),
+        )
+
+        is LedgerCommand.EndSuspect -> {
+            crashes.end(command.fingerprint, command.instance, command.finished)
+            LedgerAnswer.Done(changed = true)
+        }
+
         is LedgerCommand.AnnounceVersion -> LedgerAnswer.Announced(samples.announce(command.trainer, command.version))
     }
 
@@ -75,6 +93,7 @@
         is LedgerQuery.ReadDeliverable -> LedgerAnswer.Deliverables(samples.deliverable(query.trainer, query.token))
         LedgerQuery.ReadOpenTrainers -> LedgerAnswer.OpenTrainers(samples.openTrainers())
         is LedgerQuery.ReadHolder -> LedgerAnswer.Holder(samples.holder(query.trainer))
+        LedgerQuery.ReadSuspects -> LedgerAnswer.Suspects(crashes.suspects())
         LedgerQuery.ReadSizes -> LedgerAnswer.Sizes(idempotency.size, samples.openTrainers().size)
     }
 }
@@ -83,4 +102,5 @@
 internal data class LedgerState(
     val idempotency: IdempotencyState,
     val samples: SampleState,
+    val crashes: CrashState = CrashState(),
 )
