Test the load report of a cancelled stream

Cause: the report of a stream that is cancelled after the report of its last step had no test. Change: DecodeLoopTest cancels a stream within a report and waits for the report of its removal.

--- a/standin/src/test/kotlin/org/zinniahoist/standin/engine/DecodeLoopTest.kt
+++ b/standin/src/test/kotlin/org/zinniahoist/standin/engine/DecodeLoopTest.kt
@@ -23,8 +23,8 @@
             prefillTimePerToken = Duration.ZERO,
         )
 
-    private fun loop(configuration: EngineConfiguration) =
-        DecodeLoop(configuration, clock, faults, PrefixCache(1_024) { _, _ -> }, { 1L }, {}, {})
+    private fun loop(configuration: EngineConfiguration, onCounts: (DecodeCounts) -> Unit = {}) =
+        DecodeLoop(configuration, clock, faults, PrefixCache(1_024) { _, _ -> }, { 1L }, {}, onCounts)
 
     private fun stream(identifier: String, tokens: Int = 1): DecodeStream {
         val answer = AnswerText("prompt", 0, tokens, LengthDistribution(4_000, 4_001))
@@ -83,4 +83,20 @@
         expectThat(clock.now() - start).isGreaterThanOrEqualTo(100.milliseconds * 16 * 20)
         loop.stop()
     }
+
+    /** Guards against a load report that keeps a stream which was cancelled after the report of its last step. */
+    @Test
+    fun `reports the removal of a stream cancelled between two steps`() {
+        val reported = CopyOnWriteArrayList<Int>()
+        val stream = stream("cancelled", 4_000)
+        lateinit var loop: DecodeLoop
+        loop = loop(quick) { counts ->
+            reported.add(counts.running)
+            if (stream.position > 0) loop.cancel(stream)
+        }
+        loop.start()
+        loop.submit(stream)
+        awaitUntil { stream.cancelled && reported.last() == 0 }
+        loop.stop()
+    }
 }
