--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/timeline/TimelineTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/timeline/TimelineTest.kt
@@ -53,6 +53,12 @@
             }
         }
 
+        @Test
+        fun `an instance among the fields is the peer and not the recording instance`() {
+            recorder.record("attempt-start", "instance" to "s1")
+            expectThat(lines.single()).isEqualTo("event=attempt-start stamp=100.0 instance=e1 peer=s1")
+        }
+
         @Test
         fun `values that would break the key=value form are quoted`() {
             recorder.record("x", "cause" to "a \"b\"\nc=d", "plain" to "ok", "empty" to "")
--- a/operator/src/main/kotlin/org/zinniahoist/operator/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.operator
-
-internal object Placeholder
--- a/state/src/main/kotlin/org/zinniahoist/state/report/TimelineEvent.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/report/TimelineEvent.kt
@@ -54,7 +54,7 @@
                 revision = texts["revision"]?.toLongOrNull(),
                 trace = if (isTraceParent) trace[1] else texts["trace"],
                 span = if (isTraceParent) trace[2] else texts["span"],
-                fields = texts - IDENTIFIERS,
+                fields = fieldsOf(texts, instance),
             )
         }
 
@@ -69,6 +69,13 @@
             }
         }
 
+        /** The instance of the event is the recording one; another instance among [texts] is kept as `peer`. */
+        private fun fieldsOf(texts: Map<String, String>, instance: InstanceName): Map<String, String> {
+            val peer = texts["instance"]?.takeIf { it != instance.value }
+            val others = texts - IDENTIFIERS - "instance"
+            return if (peer == null) others else others + ("peer" to peer)
+        }
+
         private const val TRACE_PARENT_PARTS = 4
         private val IDENTIFIERS = setOf("request", "sample", "step", "revision", "trace", "span")
     }
