--- a/operator/src/main/kotlin/org/zinniahoist/operator/StepDrawing.kt
+++ b/operator/src/main/kotlin/org/zinniahoist/operator/StepDrawing.kt
@@ -10,11 +10,14 @@
     fun svg(): String {
         var top = HEADER
         picture.engines.forEach { engine -> top = row(engine, top) }
+        val rows = content.toString()
+        // The grid lies below the bars, so that it does not cut them.
+        content.clear()
         axis(top)
         val height = top + FOOTER
         return """<svg xmlns="http://www.w3.org/2000/svg" width="$WIDTH" height="$height" """ +
             """viewBox="0 0 $WIDTH $height" font-family="sans-serif" font-size="11">""" + "\n" +
-            """<rect width="$WIDTH" height="$height" fill="white"/>""" + "\n" + header() + content + "</svg>\n"
+            """<rect width="$WIDTH" height="$height" fill="white"/>""" + "\n" + header() + content + rows + "</svg>\n"
     }
 
     private fun header(): String {
@@ -22,7 +25,7 @@
         val title = "step ${picture.step}: ${picture.bars.size} attempts, $recorded recorded, $duration ms"
         val entries = listOf(
             RECORDED to "recorded sample",
-            UNRECORDED to "attempt without a recorded sample",
+            UNRECORDED to "attempt without record",
             STALL to "no sample running",
             SWAP to "weight swap",
             FAULT to "fault of the engine",
--- a/operator/src/test/kotlin/org/zinniahoist/operator/CommandLineTest.kt
+++ b/operator/src/test/kotlin/org/zinniahoist/operator/CommandLineTest.kt
@@ -159,7 +159,8 @@
             val restored = folder.resolve("restored").toString()
             expectThat(runStorage("backup", "settings", backup).exitCode).isEqualTo(ExitCode.SUCCESS)
             expectThat(runStorage("backup", "settings", backup).exitCode).isEqualTo(ExitCode.REFUSED)
-            expectThat(runStorage("restore", "backup", restored, "--instance", "c9").exitCode).isEqualTo(ExitCode.SUCCESS)
+            val restore = runStorage("restore", "backup", restored, "--instance", "c9")
+            expectThat(restore.exitCode).isEqualTo(ExitCode.SUCCESS)
             expectThat(runStorage("inspect", "restored", "--output", "json").out).contains("\"members\":[\"c9\"]")
         }
 
