--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/AdmissionQueue.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/AdmissionQueue.kt
@@ -65,12 +65,20 @@
  * @property running attempts that the upstream has.
  * @property limit attempts that it may have.
  * @property trainingLimit attempts up to which trainers may fill it. The rest is kept free for live callers.
+ * @property starting running attempts that have no first token yet.
+ * @property startingLimit attempts without a first token from which trainers wait, as a live attempt would wait behind
+ * their prompts in the upstream.
  */
 public data class Slots(
     public val running: Int,
     public val limit: Int,
     public val trainingLimit: Int = limit,
-)
+    public val starting: Int = 0,
+    public val startingLimit: Int = Int.MAX_VALUE,
+) {
+    /** Whether a trainer's attempt may start without a claim from waiting too long. */
+    internal val freeForTraining: Boolean get() = running < trainingLimit && starting < startingLimit
+}
 
 /** Answer to an offered attempt. */
 public sealed interface OfferResult {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
@@ -11,10 +11,13 @@
     /** Attempts up to which trainers may fill the upstream. */
     public val trainingLimit: Int
 
+    /** Attempts without a first token from which trainers wait. */
+    public val startingLimit: Int
+
     /** Records [tokens] that the upstream produced for all its attempts while it ran [running] of them. */
     public fun onTokens(tokens: Int, running: Int, now: Moment)
 
-    /** Records the time from giving a live attempt to the upstream to its first token. */
+    /** Records the time from the arrival of a live attempt at the sidecar to its first token. */
     public fun onLiveFirstToken(elapsed: Duration, now: Moment)
 }
 
@@ -22,6 +25,8 @@
 public class FixedConcurrencyLimiter(override val limit: Int = 32) : ConcurrencyLimiter {
     override val trainingLimit: Int get() = limit
 
+    override val startingLimit: Int get() = Int.MAX_VALUE
+
     override fun onTokens(tokens: Int, running: Int, now: Moment): Unit = Unit
 
     override fun onLiveFirstToken(elapsed: Duration, now: Moment): Unit = Unit
--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/FairShareQueue.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/FairShareQueue.kt
@@ -58,7 +58,7 @@
         val trainingDue = trainers.isNotEmpty() && liveStarts >= settings.liveStartsInRow
         return when {
             live.isNotEmpty() && !trainingDue -> startLive()
-            trainers.isNotEmpty() && (trainingDue || slots.running < slots.trainingLimit) -> startTraining()
+            trainers.isNotEmpty() && (trainingDue || slots.freeForTraining) -> startTraining()
             else -> null
         }
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/PaceConcurrencyLimiter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/PaceConcurrencyLimiter.kt
@@ -12,6 +12,7 @@
  *
  * @property fullness share of the engine's greatest token rate that the limit aims at.
  * @property liveFirstTokenTarget time to the first token of a live attempt that is held.
+ * @property startingLimit attempts without a first token from which trainers wait.
  * @property window time between two changes of the limit.
  */
 public data class LimiterSettings(
@@ -20,17 +21,17 @@
     public val maximum: Int = 256,
     public val fullness: Double = 0.9,
     public val liveFirstTokenTarget: Duration = 500.milliseconds,
+    public val startingLimit: Int = 2,
     public val window: Duration = 1.seconds,
 )
 
 /**
  * Learns how the time of one token step grows with the number of attempts, and sets the limit where more attempts add
- * little to the token rate. Slow first tokens of live attempts lower the limit and raise the part kept free for them.
+ * little to the token rate. Slow first tokens of live attempts raise the part that is kept free for them.
  */
 public class PaceConcurrencyLimiter(private val settings: LimiterSettings = LimiterSettings()) : ConcurrencyLimiter {
     private val stepTime = LinearFit()
     private var fullLimit = settings.initial.toDouble()
-    private var liveLimit = settings.maximum.toDouble()
     private var reserveShare = MINIMUM_RESERVE
     private var windowStart: Moment? = null
     private var windowTokens = 0
@@ -40,11 +41,13 @@
     private var firstTokens = 0
 
     override val limit: Int
-        get() = minOf(fullLimit, liveLimit).toInt().coerceIn(settings.minimum, settings.maximum)
+        get() = fullLimit.toInt().coerceIn(settings.minimum, settings.maximum)
 
     override val trainingLimit: Int
         get() = (limit - ceil(limit * reserveShare).toInt()).coerceAtLeast(1)
 
+    override val startingLimit: Int get() = settings.startingLimit
+
     override fun onTokens(tokens: Int, running: Int, now: Moment) {
         val start = windowStart ?: now.also { windowStart = it }
         windowTokens += tokens
@@ -85,10 +88,8 @@
     private fun adaptToFirstTokens() {
         if (firstTokens < MINIMUM_FIRST_TOKENS) return
         if (slowFirstTokens > firstTokens * SLOW_SHARE) {
-            liveLimit = (limit * (1 - MAXIMUM_CHANGE)).coerceAtLeast(settings.minimum.toDouble())
             reserveShare = (reserveShare * 2).coerceAtMost(MAXIMUM_RESERVE)
         } else {
-            liveLimit = (liveLimit + 1).coerceAtMost(settings.maximum.toDouble())
             reserveShare = (reserveShare * RESERVE_DECAY).coerceAtLeast(MINIMUM_RESERVE)
         }
         firstTokens = 0
@@ -97,14 +98,14 @@
 
     private companion object {
         const val MINIMUM_RESERVE = 0.1
-        const val MAXIMUM_RESERVE = 0.5
-        const val RESERVE_DECAY = 0.97
+        const val MAXIMUM_RESERVE = 0.6
+        const val RESERVE_DECAY = 0.9
         const val FULL_SHARE = 0.9
         const val MAXIMUM_CHANGE = 0.1
-        const val MINIMUM_FIRST_TOKENS = 10
+        const val MINIMUM_FIRST_TOKENS = 20
 
         /** More slow first tokens than this share mean that the target is missed. */
-        const val SLOW_SHARE = 0.05
+        const val SLOW_SHARE = 0.1
     }
 }
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/rollout/RolloutPlanner.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/rollout/RolloutPlanner.kt
@@ -29,6 +29,7 @@
  * @property held versions whose weights the sidecar has.
  * @property fetch transfer in progress.
  * @property swapping version that the engine is loading.
+ * @property otherSwap whether the engine loads weights of another model or adapter, and so takes no requests.
  * @property inRouting whether the engine gets requests.
  */
 public data class EngineState(
@@ -38,6 +39,7 @@
     public val held: Set<WeightVersion> = emptySet(),
     public val fetch: Fetch? = null,
     public val swapping: WeightVersion? = null,
+    public val otherSwap: Boolean = false,
     public val inRouting: Boolean = true,
 )
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/rollout/WavePlanner.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/rollout/WavePlanner.kt
@@ -42,8 +42,8 @@
         var routable = state.engines.count { it.servesCallers }
         return state.engines.groupBy { it.failureDomain }.values.flatMap { engines ->
             val wave = floor(settings.waveShare * engines.size).toInt().coerceAtLeast(1)
-            var places = wave - engines.count { it.swapping != null }
-            engines.filter { it.swapping == null && it.serving != target && target in it.held }
+            var places = wave - engines.count { it.swapping != null || it.otherSwap }
+            engines.filter { it.swapping == null && !it.otherSwap && it.serving != target && target in it.held }
                 // Engines out of routing cost nothing, and those with withdrawn weights are the most urgent.
                 .sortedBy { engine ->
                     when {
@@ -54,7 +54,7 @@
                 }
                 .mapNotNull { engine ->
                     val last = engine.servesCallers && routable == 1 && state.engines.size > 1
-                    if (places <= 0 || last) return@mapNotNull null
+                    if (engine.servesCallers && (places <= 0 || last)) return@mapNotNull null
                     places -= 1
                     if (engine.servesCallers) routable -= 1
                     RolloutAction.Swap(engine.instance, target)
@@ -62,7 +62,10 @@
         }
     }
 
-    private val EngineState.servesCallers: Boolean get() = inRouting && swapping == null && serving != null
+    private val EngineState.servesCallers: Boolean get() = inRouting &&
+        swapping == null &&
+        !otherSwap &&
+        serving != null
 }
 
 /** Free transfers of the store and of the sidecars that hold the version. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routing/EstimatedWaitRouter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/EstimatedWaitRouter.kt
@@ -29,6 +29,9 @@
     private var availableCount = 0
     private var meanForeign = 0.0
 
+    /** Mean expected milliseconds of the attempts that this entry routes. A report can't know of the latest of them. */
+    private var meanExpected = 0.0
+
     override fun add(instance: InstanceName, failureDomain: FailureDomain) {
         remove(instance)
         val place = placeOf(this.failureDomain, failureDomain)
@@ -61,10 +64,11 @@
 
     override fun route(request: RoutingRequest, now: Moment, random: Random): RoutingDecision {
         while (ejected.isNotEmpty() && ejected.peek().until <= now) release(ejected.remove())
+        meanExpected += MEAN_SMOOTHING * (request.expectedTime.toDouble(DurationUnit.MILLISECONDS) - meanExpected)
         val best = shortestWait(request, now, random) ?: return RoutingDecision.NoUpstream
         val sharing = request.prefixHash?.let { sharingPrefix(it, request, best, now) }
         val chosen = sharing ?: best.record
-        val wait = chosen.waitMilliseconds(chosen.load(meanForeign, now)).milliseconds
+        val wait = chosen.waitMilliseconds(chosen.load(meanForeign, now), meanExpected).milliseconds
         return RoutingDecision.Routed(chosen.instance, wait, sharing != null)
     }
 
@@ -133,7 +137,7 @@
 
     private fun candidate(record: UpstreamRecord, now: Moment): Candidate {
         val load = record.load(meanForeign, now)
-        return Candidate(record, record.waitMilliseconds(load), record.rank(load))
+        return Candidate(record, record.waitMilliseconds(load, meanExpected), record.rank(load, meanExpected))
     }
 
     /** Returns an upstream that may hold the prefix, unless the attempt would end later there. */
@@ -152,7 +156,7 @@
             if (record.instance in request.excluded) continue
             val load = record.load(meanForeign, now)
             val bounded = load + 1 <= settings.affinityLoadFactor * (mean + 1) || record.hasHalfFree(load)
-            if (bounded && record.rank(load) <= limitRank) return record
+            if (bounded && record.rank(load, meanExpected) <= limitRank) return record
         }
         return null
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routing/LoadDigest.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/LoadDigest.kt
@@ -8,7 +8,8 @@
  * @property running attempts that the upstream has been given.
  * @property waiting attempts that the sidecar holds back.
  * @property concurrencyLimit attempts that the sidecar gives to the upstream at once.
- * @property serviceMilliseconds mean time that an attempt spends on the upstream.
+ * @property serviceMilliseconds mean time that the attempts at the sidecar are expected to spend on the upstream, or 0
+ * if there are none. The mean of ended attempts would be too short while long ones run.
  */
 @Serializable
 public data class LoadDigest(
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routing/Router.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/Router.kt
@@ -39,12 +39,14 @@
  *
  * @property prefixHash hash of the prompt's prefix, or null if no cache can be shared.
  * @property prefillSaving time that a cached prefix saves.
+ * @property expectedTime time that the attempt is expected to spend on the upstream, or zero if it is not known.
  * @property excluded upstreams that earlier attempts of the request tried.
  */
 public data class RoutingRequest(
     public val prefixHash: Long? = null,
     public val prefillSaving: Duration = Duration.ZERO,
     public val excluded: Set<InstanceName> = emptySet(),
+    public val expectedTime: Duration = Duration.ZERO,
 )
 
 /** Result of a routing decision. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routing/UpstreamRecord.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routing/UpstreamRecord.kt
@@ -50,11 +50,12 @@
     }
 
     /** Milliseconds until a new attempt is expected to get a slot. */
-    fun waitMilliseconds(load: Double): Double = (load + 1 - limit).coerceAtLeast(0.0) * serviceMilliseconds / limit
+    fun waitMilliseconds(load: Double, meanExpected: Double): Double =
+        (load + 1 - limit).coerceAtLeast(0.0) * maxOf(serviceMilliseconds, meanExpected) / limit
 
     /** Milliseconds that rank upstreams: the wait, and the slower pace on a fuller upstream. */
-    fun rank(load: Double): Double =
-        waitMilliseconds(load) + settings.crowdingShare * serviceMilliseconds * (load / limit).coerceAtMost(1.0)
+    fun rank(load: Double, meanExpected: Double): Double = waitMilliseconds(load, meanExpected) +
+        settings.crowdingShare * maxOf(serviceMilliseconds, meanExpected) * (load / limit).coerceAtMost(1.0)
 
     fun hasHalfFree(load: Double): Boolean = load < limit / 2.0
 
