--- a/policy/src/main/kotlin/org/zinniahoist/policy/sampling/LongestFirstScheduler.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/sampling/LongestFirstScheduler.kt
@@ -40,7 +40,9 @@
         tokens: Int,
         now: Moment,
     ) {
-        running[sample]?.attempt(attempt)?.tokens = tokens
+        val progressing = running[sample] ?: return
+        progressing.attempt(attempt)?.tokens = tokens
+        waiting.onProgress(keyOf(progressing.planned), tokens)
     }
 
     override fun onFinished(
@@ -95,7 +97,8 @@
 
     private fun hedge(supply: SlotSupply, now: Moment): StartSample? {
         val due = nextHedgeSearch?.let { now >= it } ?: true
-        if (supply.idle <= 0 || supply.idlePace <= 0 || !due) return null
+        if (!settings.hedging || !due) return null
+        if (supply.idle <= 0 || supply.idlePace <= 0) return null
         val straggler = running.values
             .filter { it.attempts.size == 1 }
             .map { Straggler(it, supply.idlePace, now) }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/sampling/SampleScheduler.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/sampling/SampleScheduler.kt
@@ -45,19 +45,6 @@
     public val maximumTokens: Int,
 )
 
-/**
- * What the engines can take.
- *
- * @property free slots that a sample may take.
- * @property idle slots that nothing else waits for.
- * @property idlePace tokens per second of one attempt on an engine with idle slots.
- */
-public data class SlotSupply(
-    public val free: Int,
-    public val idle: Int,
-    public val idlePace: Double,
-)
-
 /**
  * An attempt to start.
  *
--- a/policy/src/main/kotlin/org/zinniahoist/policy/sampling/WaitingSamples.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/sampling/WaitingSamples.kt
@@ -2,14 +2,21 @@
 
 import java.util.TreeSet
 
-/** Samples that wait, those of the group with the longest expected samples first. */
+/**
+ * Samples that wait.
+ *
+ * One sample of each group starts first, as its progress tells most about the others. Then follow those of the group
+ * with the longest expected samples.
+ */
 internal class WaitingSamples(private val estimator: LengthEstimator) {
     var size = 0
         private set
     private val again = ArrayDeque<PlannedSample>()
     private val groups = HashMap<GroupKey, WaitingGroup>()
     private val order = TreeSet(
-        compareByDescending<WaitingGroup> { it.upper }.thenBy { it.key.step }.thenBy { it.key.group },
+        compareBy<WaitingGroup> {
+            it.probed
+        }.thenByDescending { it.upper }.thenBy { it.key.step }.thenBy { it.key.group },
     )
     private var observations = 0
 
@@ -31,7 +38,10 @@
         again.removeFirstOrNull()?.let { return it }
         val group = order.first()
         lateinit var sample: PlannedSample
-        reorder(group) { sample = samples.removeFirst() }
+        reorder(group) {
+            sample = samples.removeFirst()
+            probed = true
+        }
         if (group.samples.isEmpty()) groups.remove(group.key)
         return sample
     }
@@ -46,21 +56,32 @@
         }
     }
 
+    /** Records that a sample of the group runs and has [tokens] so far. */
+    fun onProgress(key: GroupKey, tokens: Int) {
+        val group = groups[key] ?: return
+        if (tokens > group.longestRunning * PROGRESS_FACTOR) reorder(group) { longestRunning = tokens }
+    }
+
     private fun reorder(group: WaitingGroup, change: WaitingGroup.() -> Unit) {
         order.remove(group)
         group.change()
         val first = group.samples.firstOrNull() ?: return
-        group.upper = estimator.estimate(group.key, 0, first.maximumTokens).upper
+        group.upper = estimator.estimate(group.key, group.longestRunning, first.maximumTokens).upper
         order.add(group)
     }
 
     private class WaitingGroup(val key: GroupKey) {
         val samples = ArrayDeque<PlannedSample>()
         var upper = 0.0
+        var probed = false
+        var longestRunning = 0
     }
 
     private companion object {
         const val REORDER_INTERVAL = 64
+
+        /** Progress below this factor does not change the order, so that reports stay cheap. */
+        const val PROGRESS_FACTOR = 1.25
     }
 }
 
