--- /dev/null
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/Main.kt
@@ -0,0 +1,14 @@
+package org.zinniahoist.experiment
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import org.zinniahoist.experiment.virtual.VirtualCommand
+
+/** Dispatches the sub-commands of the experiment tool. */
+@OptIn(ExperimentalCli::class)
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("experiment")
+    // Each sub-command is one class in its own package. The command `quickstart` belongs in this list.
+    parser.subcommands(VirtualCommand())
+    parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
+}
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/Placeholder.kt
+++ /dev/null
@@ -1,3 +0,0 @@
-package org.zinniahoist.experiment
-
-internal object Placeholder
