Measure the cost of decisions in a loop

Cause: the targets of a routing decision had no measurement. Change: 'experiment decisions' times routing at 10 to 10,000 upstreams and admission at as many waiting attempts.

--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/Main.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/Main.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
+import org.zinniahoist.experiment.virtual.DecisionCostCommand
 import org.zinniahoist.experiment.virtual.VirtualCommand
 
 /** Dispatches the sub-commands of the experiment tool. */
@@ -9,6 +10,6 @@
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("experiment")
     // Each sub-command is one class in its own package. The command `quickstart` belongs in this list.
-    parser.subcommands(VirtualCommand())
+    parser.subcommands(VirtualCommand(), DecisionCostCommand())
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
