--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/PolicySet.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/PolicySet.kt
@@ -75,8 +75,8 @@
 
     fun scheduler(): SampleScheduler = when {
         Decision.SCHEDULING in plain -> ArrivalOrderScheduler()
-        Decision.HEDGING in plain -> LongestFirstScheduler(settings = SchedulerSettings(thrownAwayShare = 0.0))
-        else -> LongestFirstScheduler()
+        Decision.HEDGING in plain -> LongestFirstScheduler(settings = SchedulerSettings(hedging = false))
+        else -> LongestFirstScheduler(settings = SchedulerSettings(hedging = true))
     }
 
     fun rollout(): RolloutPlanner = if (Decision.ROLLOUT in plain) AllAtOncePlanner() else WavePlanner()
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/TrainingSession.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/TrainingSession.kt
@@ -88,7 +88,16 @@
         if (start.hedge) measures.hedges += 1
         val hash = prefix.takeIf { sharesPrefixes && !start.spread }
         running[attempt.identifier] = Running(start, attempt, newestServed())
-        return entry.start(attempt, RoutingRequest(hash, PREFILL_SAVING)) != null
+        return entry.start(
+            attempt,
+            RoutingRequest(
+                hash,
+                PREFILL_SAVING,
+                expectedTime =
+                SECONDS_PER_TOKEN * start.expectedTokens,
+            ),
+        ) !=
+            null
     }
 
     private fun ended(start: StartSample, result: AttemptResult) {
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualCommand.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualCommand.kt
@@ -72,6 +72,6 @@
 
     private companion object {
         /** Decisions whose chosen implementation did not help. */
-        val DEFAULT_PLAIN = emptySet<Decision>()
+        val DEFAULT_PLAIN = setOf(Decision.HEDGING)
     }
 }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualEntry.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualEntry.kt
@@ -15,9 +15,10 @@
 import org.zinniahoist.policy.routing.RoutingDecision
 import org.zinniahoist.policy.routing.RoutingRequest
 import org.zinniahoist.policy.sampling.SlotSupply
-import kotlin.math.ceil
+import org.zinniahoist.policy.sampling.freeSlots
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** An entry that routes attempts over its links. */
 internal class VirtualEntry(
@@ -38,13 +39,10 @@
         it.instance to VirtualLink(loop, policies, it, latency, this)
     }
 
-    /** Slots for more samples. Sidecars order what waits, so that a quarter more than the limits may be on the way. */
     val supply: SlotSupply
         get() {
-            val open = links.values.filter { it.open && it.digest != null }
-            val free = open.sumOf {
-                (ceil(it.digest!!.concurrencyLimit * AHEAD_SHARE).toInt() - it.inFlight.size).coerceAtLeast(0)
-            }
+            val open = links.values.filter { usable(it) && it.digest != null }
+            val free = open.sumOf { freeSlots(it.digest!!, it.inFlight.size, it.inFlightAtReport) }
             val idle = open.filter { it.digest!!.waiting == 0 }.sumOf {
                 (it.digest!!.concurrencyLimit / 2 - it.digest!!.running).coerceAtLeast(0)
             }
@@ -93,8 +91,7 @@
     }
 
     fun updateAvailability(sidecar: VirtualSidecar) {
-        val usable = (!policies.takesSwappingOut || sidecar.swaps == 0)
-        router.setAvailable(sidecar.instance, links.getValue(sidecar.instance).open && usable)
+        router.setAvailable(sidecar.instance, usable(links.getValue(sidecar.instance)))
     }
 
     override fun onReport(link: VirtualLink, digest: LoadDigest) =
@@ -112,6 +109,9 @@
 
     override fun onOpened(link: VirtualLink) = updateAvailability(link.sidecar)
 
+    private fun usable(link: VirtualLink): Boolean =
+        link.open && (!policies.takesSwappingOut || link.sidecar.swaps == 0)
+
     private fun throwAway(attempt: VirtualAttempt, tokens: Int) {
         if (attempt.origin != Origin.Live) measures.thrownAwayTokens += tokens
     }
@@ -124,7 +124,7 @@
     ) {
         link.inFlight.remove(attempt.identifier) ?: return
         router.onEnd(link.sidecar.instance, outcome, loop.now)
-        router.onReport(link.sidecar.instance, link.sidecar.digest, loop.now)
+        link.report(link.sidecar.digest)
         if (result.verdict is Verdict.MayHaveRun) {
             link.send {
                 throwAway(attempt, link.sidecar.cancel(attempt.identifier))
@@ -164,7 +164,7 @@
                 onEnd = { ended(it, count, tried + setOfNotNull(instance)) },
             )
             val hash = prefix.takeIf { policies.sharesPrefixes }
-            instance = start(attempt, RoutingRequest(hash, LIVE_PREFILL_SAVING, tried))
+            instance = start(attempt, RoutingRequest(hash, LIVE_PREFILL_SAVING, tried, LIVE_TIME))
         }
 
         private fun firstToken() {
@@ -185,8 +185,8 @@
 
     private companion object {
         val LOCAL_LATENCY = 100.milliseconds / 1_000
+        val LIVE_TIME = 2.seconds
         val LIVE_PREFILL_SAVING = 25.milliseconds
-        const val AHEAD_SHARE = 1.25
 
         /** Tokens per second of an attempt on an engine with a small batch. */
         const val IDLE_PACE = 80.0
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualLink.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualLink.kt
@@ -17,6 +17,8 @@
     val inFlight = LinkedHashMap<AttemptIdentifier, VirtualAttempt>()
     var digest: LoadDigest? = null
         private set
+    var inFlightAtReport = 0
+        private set
     var open = true
         private set
     private var silent = false
@@ -41,6 +43,13 @@
         }
     }
 
+    /** Takes over a report that a heartbeat or the end of an attempt carried. */
+    fun report(digest: LoadDigest) {
+        this.digest = digest
+        inFlightAtReport = inFlight.size
+        listener.onReport(this, digest)
+    }
+
     fun goSilent() {
         silent = true
     }
@@ -57,7 +66,7 @@
         if (!open) return
         send {
             monitor.onFrameReceived(loop.now)
-            digest = sidecar.digest.also { listener.onReport(this, it) }
+            report(sidecar.digest)
         }
         if (monitor.check(loop.now).close) close()
     }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualRollout.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualRollout.kt
@@ -26,14 +26,20 @@
         }
     }
 
+    /** Called when a swap of any trainer ends. */
+    var onSwapped: () -> Unit = {}
+
     fun begin(version: WeightVersion) {
         target = version
         proceed()
     }
 
-    private fun proceed() {
+    fun proceed() {
         val known = setOf(target, WeightVersion(target.number - 1))
-        planner.plan(RolloutState(target, known, engines.values.toList())).forEach(::apply)
+        val states = engines.values.map {
+            it.copy(otherSwap = it.swapping == null && sidecars.getValue(it.instance).swaps > 0)
+        }
+        planner.plan(RolloutState(target, known, states)).forEach(::apply)
     }
 
     private fun apply(action: RolloutAction) {
@@ -64,7 +70,7 @@
             sidecar.versions[trainer] = version
             sidecar.swaps -= 1
             entries.forEach { it.updateAvailability(sidecar) }
-            proceed()
+            onSwapped()
         }
     }
 
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualRun.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualRun.kt
@@ -26,6 +26,7 @@
     private val entries = deployment.domains.map {
         VirtualEntry(loop, Random(random.nextLong()), policies, measures, deployment, it, sidecars)
     }
+    private val rollouts = ArrayList<VirtualRollout>()
     private var liveCalls = 0
 
     fun run(duration: Duration): Map<Measure, Double> {
@@ -40,6 +41,8 @@
     private fun trainer(index: Int): VirtualTrainer {
         val trainer = VirtualTrainer(loop, TrainerName("trainer-$index"), scenario, measures)
         val rollout = VirtualRollout(loop, policies, trainer.name, sidecars.associateBy { it.instance }, entries)
+        rollouts.add(rollout)
+        rollout.onSwapped = { rollouts.forEach { it.proceed() } }
         trainer.onVersion = rollout::begin
         val entry = entries[index % entries.size]
         TrainingSession(loop, seed, scenario, deployment, policies, entry, trainer, sidecars, measures)
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualSidecar.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/virtual/VirtualSidecar.kt
@@ -52,7 +52,6 @@
     private val queue = policies.queue()
     private val limiter = policies.limiter()
     private val held = LinkedHashMap<AttemptIdentifier, Held>()
-    private var serviceMilliseconds = INITIAL_SERVICE_MILLISECONDS
     private var reportedTokens = 0.0
 
     init {
@@ -60,7 +59,7 @@
     }
 
     val digest: LoadDigest
-        get() = LoadDigest(engine.running, queue.size, limiter.limit, serviceMilliseconds)
+        get() = LoadDigest(engine.running, queue.size, limiter.limit, serviceMilliseconds())
 
     fun receive(attempt: VirtualAttempt, onFirstToken: () -> Unit, reply: (AttemptResult) -> Unit) {
         if (!engine.alive) return reply(AttemptResult(Verdict.NotRun(RefusalReason.NO_UPSTREAM)))
@@ -70,7 +69,7 @@
             is OfferResult.Refused ->
                 reply(AttemptResult(Verdict.NotRun(result.reason), retryAfter = result.retryAfter))
             OfferResult.Queued -> {
-                held[attempt.identifier] = Held(attempt, onFirstToken, reply)
+                held[attempt.identifier] = Held(attempt, loop.now, onFirstToken, reply)
                 pump()
             }
         }
@@ -101,6 +100,11 @@
         }
     }
 
+    private fun serviceMilliseconds(): Double {
+        val tokens = held.values.sumOf { it.attempt.expectedTokens } / held.size.coerceAtLeast(1)
+        return (engine.stepTime * tokens).toDouble(DurationUnit.MILLISECONDS)
+    }
+
     private fun pump() {
         while (engine.alive) {
             val slots = with(limiter) { Slots(engine.running, limit, trainingLimit, engine.starting, startingLimit) }
@@ -116,7 +120,7 @@
         val trainer = (attempt.attempt.origin as? Origin.Training)?.trainer
         val version = trainer?.let { versions[it] }
         val onFirstToken = {
-            if (attempt.attempt.origin == Origin.Live) limiter.onLiveFirstToken(loop.now - started, loop.now)
+            if (attempt.attempt.origin == Origin.Live) limiter.onLiveFirstToken(loop.now - attempt.arrivedAt, loop.now)
             attempt.onFirstToken()
             pump()
         }
@@ -129,8 +133,6 @@
 
     private fun finished(attempt: Held, version: WeightVersion?) {
         held.remove(attempt.attempt.identifier) ?: return
-        val time = loop.now - attempt.startedAt
-        serviceMilliseconds += SMOOTHING * (time.toDouble(DurationUnit.MILLISECONDS) - serviceMilliseconds)
         attempt.reply(AttemptResult(Verdict.Completed, attempt.attempt.outputTokens, version))
         ended(attempt)
     }
@@ -152,6 +154,7 @@
 
     private class Held(
         val attempt: VirtualAttempt,
+        val arrivedAt: Moment,
         val onFirstToken: () -> Unit,
         val reply: (AttemptResult) -> Unit,
     ) {
@@ -162,7 +165,5 @@
 
     private companion object {
         val TICK = 200.milliseconds
-        const val INITIAL_SERVICE_MILLISECONDS = 5_000.0
-        const val SMOOTHING = 0.05
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/admission/ConcurrencyLimiter.kt
@@ -17,7 +17,7 @@
     /** Records [tokens] that the upstream produced for all its attempts while it ran [running] of them. */
     public fun onTokens(tokens: Int, running: Int, now: Moment)
 
-    /** Records the time from giving a live attempt to the upstream to its first token. */
+    /** Records the time from the arrival of a live attempt at the sidecar to its first token. */
     public fun onLiveFirstToken(elapsed: Duration, now: Moment)
 }
 
--- a/settings/src/test/kotlin/org/zinniahoist/settings/DaemonSettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/DaemonSettingsTest.kt
@@ -55,7 +55,7 @@
             expectThat(faults(text)).containsExactly(
                 "d.ini:1: unknown section [?]; allowed: sections $SECTIONS",
                 "d.ini:8: unknown key 'instance.htp-port' with value '80'; allowed: keys name, failure-domain, " +
-                    "region, roles, listen-host, http-port, link-port, data-folder; did you mean 'http-port'?",
+                    "region, roles, branch, listen-host, http-port, link-port, data-folder; did you mean 'http-port'?",
                 "d.ini:9: key 'instance.link-port' has value '70000'; allowed: a whole number from 0 to 65535",
                 "d.ini:10: key 'instance.name' with value 'a2' was already given at d.ini:4; allowed: once",
                 "d.ini:11: 'noise' is not '[section]', 'key = value' or a comment",
