Number samples for delivery when they become deliverable

Ruled out: rollouts and acknowledgements, which went on in the event log. Change: a position is given when a fetch first finds the result deliverable; trainers' versions are published by the entry; the platform's list is read; the serializer of messages is made once instead of at each frame.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
@@ -142,7 +142,7 @@
         clients.forEach { it.close() }
         linkServer?.close()
         role?.close()
-        server?.stop()?.join()
+        server?.closeAsync()
         scope.cancel()
     }
 
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.daemon.configuration.SettingsInForce
 import org.zinniahoist.daemon.control.ControlClient
@@ -74,7 +75,7 @@
         inForce,
         settings.limits.concurrency,
         LiveService(links, runner, policies, clock),
-        TrainerService(ledger, holdings),
+        TrainerService(ledger, holdings, VersionPublisher(control)),
     )
     private val clients = mutableListOf<LinkClient>()
     private var linkServer: LinkServer? = null
@@ -101,6 +102,7 @@
         if (listenForPeers) listen()
         settings.sidecars.values.forEach { open(it, links) }
         settings.entries.filterKeys { it != settings.name }.values.forEach { open(it, peers) }
+        settings.platform.listEndpoint?.let { scope.launch { followPlatformList(PlatformList(it)) } }
         holdings.start()
         server = httpServer().also { it.start().await() }
         events.record("entry-started", "instance" to settings.name, "revision" to inForce.revision)
@@ -144,6 +146,13 @@
         linkEndpoint = bound.start()
     }
 
+    private suspend fun followPlatformList(list: PlatformList) {
+        while (true) {
+            list.read()?.let { onPlatformList(it.live, it.leaving) }
+            delay(settings.platform.listInterval)
+        }
+    }
+
     private fun open(endpoint: Endpoint, handler: LinkHandler) {
         val client = LinkClient(endpoint, hello, handler, ::heartbeat, clock, random, linkLimits)
         clients += client
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerService.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerService.kt
@@ -38,6 +38,7 @@
 internal class TrainerService(
     private val ledger: LedgerClient,
     private val holdings: TrainerHoldings,
+    private val versions: VersionPublisher,
 ) {
     suspend fun handle(exchange: Exchange, settings: EffectiveSettings) {
         val terms = Tokens.trainer(settings, exchange.header("authorization"))
@@ -70,18 +71,26 @@
                 exchange.request,
             ) { answer -> (answer as? LedgerAnswer.Acknowledged)?.let { json("acknowledged", it.samples.toLong()) } }
 
-            is TrainerRequest.Announce -> change(
-                LedgerCommand.AnnounceVersion(request.trainer, request.version),
-                request,
-                group,
-                exchange.request,
-            ) { answer -> (answer as? LedgerAnswer.Announced)?.let { json("version", it.version.number) } }
+            is TrainerRequest.Announce -> announce(request, terms, group, exchange.request)
 
             is TrainerRequest.Fetch, is TrainerRequest.Refresh ->
                 holdings.atHolder(request, exchange.method, exchange.target, body, exchange.request)
         }
     }
 
+    /** The version is published first: announced before its rollout, it would make fresh samples look stale. */
+    private suspend fun announce(
+        request: TrainerRequest.Announce,
+        terms: TrainerTerms,
+        group: String,
+        identifier: RequestIdentifier,
+    ): TrainerAnswer {
+        versions.publish(terms.contract.model, request.version).onLeft { return failure(it, identifier) }
+        return change(LedgerCommand.AnnounceVersion(request.trainer, request.version), request, group, identifier) {
+            (it as? LedgerAnswer.Announced)?.let { answer -> json("version", answer.version.number) }
+        }
+    }
+
     private suspend fun submit(
         request: TrainerRequest.Submit,
         group: String,
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerWork.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerWork.kt
@@ -39,10 +39,10 @@
     private val scheduler = tools.policies.scheduler(lengths)
     private val groups = HashMap<GroupKey, Group>()
     private val planned = HashSet<SampleIdentifier>()
-    private val drafted = LinkedHashMap<AttemptIdentifier, HeldSample>()
+    private val drafted = LinkedHashMap<AttemptIdentifier, DraftedSample>()
     private val running = HashMap<CancelSample, Job>()
     private val outlooks = SampleOutlooks(contract)
-    private var nextPosition = 1L
+    private val order = DeliveryOrder()
     private var stopping = false
 
     /** Changes whenever the deliverable samples may have changed. */
@@ -63,7 +63,8 @@
             held.trainerVersion?.let { outlooks.onVersion(it, now) }
             held.open.forEach { plan(it) }
             val open = held.open.associate { it.step.number to it.acknowledged.toSet() }
-            drafted.values.removeIf { open[it.sample.identifier.step]?.contains(it.sample.identifier) ?: true }
+            drafted.values.removeIf { open[it.identifier.step]?.contains(it.identifier) ?: true }
+            order.retain(drafted.keys)
             planned.removeIf { it.step !in open }
             groups.keys.removeIf { key -> open.keys.none { it.value == key.step } }
         }
@@ -108,7 +109,9 @@
     }
 
     /** Returns the sample that [attempt] drafted, if it is held. */
-    fun held(attempt: AttemptIdentifier): HeldSample? = synchronized(this) { drafted[attempt] }
+    fun held(attempt: AttemptIdentifier): HeldSample? = synchronized(this) {
+        drafted[attempt]?.let { HeldSample(it, order.positionOf(attempt)) }
+    }
 
     /** Forgets the result of [attempt] in the ledger and drafts [sample] again. */
     suspend fun draftAgain(sample: SampleIdentifier, attempt: AttemptIdentifier) {
@@ -182,7 +185,7 @@
     private fun planOf(start: StartSample): RequestPlan? {
         val sample = start.identifier
         val group = groups[GroupKey(sample.step.value, sample.group)] ?: return null
-        val finished = drafted.values.map { it.sample.identifier }
+        val finished = drafted.values.map { it.identifier }
             .count { it.step == sample.step && it.group == sample.group }
         return tools.plan(contract, sample, group, start, group.samples - finished)
     }
@@ -208,7 +211,7 @@
     private suspend fun record(sample: DraftedSample, start: StartSample): Boolean {
         synchronized(this) {
             if (lost) return false
-            drafted[sample.attempt] = HeldSample(sample, nextPosition++)
+            drafted[sample.attempt] = sample
         }
         val result = recordInLedger(sample)
         if (result != RecordResult.RECORDED) synchronized(this) { drafted.remove(sample.attempt) }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/VersionPublisher.kt
@@ -0,0 +1,31 @@
+package org.zinniahoist.daemon.entry
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.zinniahoist.daemon.control.ControlClient
+import org.zinniahoist.daemon.control.ControlFailure
+import org.zinniahoist.daemon.control.ControlResult
+import org.zinniahoist.daemon.control.GroupName
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.coordination.CoordinationCommand
+
+/** Publishes the weight versions that trainers announce, so that control rolls them out. */
+internal class VersionPublisher(private val control: ControlClient) {
+    /** Publishes [version] of [model]. A repeat has no further effect. */
+    suspend fun publish(model: ModelName, version: WeightVersion): Either<ControlFailure, Unit> {
+        val command = CoordinationCommand.PublishVersion(model, version)
+        return when (
+            val result = control.command(
+                GroupName.SETTINGS,
+                StateCodec.encode<CoordinationCommand>(command),
+            )
+        ) {
+            is ControlResult.Answered -> Unit.right()
+            is ControlResult.NotApplied -> ControlFailure(result.reason, mayHaveEffect = false).left()
+            is ControlResult.OutcomeUnknown -> ControlFailure(result.reason, mayHaveEffect = true).left()
+        }
+    }
+}
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
@@ -64,10 +64,6 @@
         while (daemons.values.any { !it.isReady || it.settingsRevision < revision }) delay(READY_CHECK)
     }
 
-    /** Publishes a weight version, which control rolls out to the engines. */
-    suspend fun publish(version: Long): Unit =
-        QuickstartOperator(linkEndpoints.getValue("control-1")).use { it.publish(version) }
-
     /** Stops entries first, then sidecars and control, each gracefully. */
     suspend fun drain() {
         daemons.entries.sortedBy { (name, _) -> STOP_ORDER.indexOfFirst(name::startsWith) }.forEach { it.value.drain() }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
@@ -7,11 +7,9 @@
 import org.zinniahoist.model.FailureDomain
 import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.InstanceName
-import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Region
 import org.zinniahoist.model.Revision
-import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.settings.DeclaredTreeReader
 import org.zinniahoist.settings.OperatorName
 import org.zinniahoist.settings.SettingsTree
@@ -64,10 +62,6 @@
         }
     }
 
-    suspend fun publish(version: Long) {
-        command(CoordinationCommand.PublishVersion(ModelName(QuickstartTree.MODEL), WeightVersion(version)))
-    }
-
     override fun onOpen(link: LinkConnection): Unit = client.onOpen(link)
 
     override suspend fun onMessage(link: LinkConnection, message: Message) {
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartRun.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartRun.kt
@@ -52,7 +52,6 @@
 
     private suspend fun train() {
         trainer.announceVersion(1)
-        cluster.publish(1)
         for (step in 1..plan.steps) {
             if (stop.get()) return
             val groups = List(plan.groupsPerStep) { index ->
@@ -66,7 +65,6 @@
             val trained = TimeSource.Monotonic.markNow()
             delay(TRAINING_TIME)
             training += trained.elapsedNow()
-            cluster.publish(step + 1L)
             trainer.announceVersion(step + 1L)
         }
     }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameCodec.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameCodec.kt
@@ -2,23 +2,24 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.cbor.Cbor
-import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 
 /** CBOR form of messages. Unknown keys are ignored, so that two releases with one protocol version can talk. */
 @OptIn(ExperimentalSerializationApi::class)
 public object FrameCodec {
     private val cbor = Cbor { ignoreUnknownKeys = true }
 
+    // Message.serializer() builds the table of all messages anew at each call.
+    private val serializer = Message.serializer()
+
     /** Bytes of the length in front of each frame. */
     public const val PREFIX_BYTES: Int = 4
 
     /** Encodes [message] without the length in front of it. */
-    public fun encode(message: Message): ByteArray = cbor.encodeToByteArray<Message>(message)
+    public fun encode(message: Message): ByteArray = cbor.encodeToByteArray(serializer, message)
 
     /** Decodes [bytes]. Damaged bytes and messages of an unknown kind give [DecodedFrame.Damaged]. */
     public fun decode(bytes: ByteArray): DecodedFrame = try {
-        DecodedFrame.Whole(cbor.decodeFromByteArray<Message>(bytes))
+        DecodedFrame.Whole(cbor.decodeFromByteArray(serializer, bytes))
     } catch (fault: Exception) {
         // The decoder reports damage by exceptions of several types, index errors among them.
         DecodedFrame.Damaged(fault.message?.lineSequence()?.firstOrNull() ?: fault.javaClass.simpleName)
