Stop the test servers side by side

ControlHttpTest and ApplyTest pass with the servers stopped together; the time of the whole run was not measured again.

--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/control/ControlHttpTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/control/ControlHttpTest.kt
@@ -42,7 +42,7 @@
     }
 
     @AfterEach
-    fun stop() = listOf(open, guarded).forEach { it.stop().join() }
+    fun stop() = listOf(open, guarded).map { it.stop() }.forEach { it.join() }
 
     private fun call(
         method: HttpMethod,
--- a/operator/src/test/kotlin/org/zinniahoist/operator/ToolFixture.kt
+++ b/operator/src/test/kotlin/org/zinniahoist/operator/ToolFixture.kt
@@ -92,7 +92,7 @@
         *options,
     )
 
-    override fun close() = servers.forEach { it.stop().join() }
+    override fun close() = servers.map { it.stop() }.forEach { it.join() }
 
     companion object {
         /** SHA-256 of `secret`. */
