--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/Main.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/Main.kt
@@ -3,6 +3,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ExperimentalCli
 import org.zinniahoist.experiment.quickstart.QuickstartCommand
+import org.zinniahoist.experiment.slopes.SlopesCommand
 import org.zinniahoist.experiment.virtual.DecisionCostCommand
 import org.zinniahoist.experiment.virtual.VirtualCommand
 
@@ -10,6 +11,6 @@
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("experiment")
-    parser.subcommands(QuickstartCommand(), VirtualCommand(), DecisionCostCommand())
+    parser.subcommands(QuickstartCommand(), VirtualCommand(), DecisionCostCommand(), SlopesCommand())
     parser.parse(if (arguments.isEmpty()) arrayOf("--help") else arguments)
 }
