--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Daemon.kt
@@ -95,6 +95,9 @@
     /** Revision of the settings that the daemon acts on. */
     public val settingsRevision: Revision get() = follower.revision
 
+    /** Number of upstreams that take new work from the entry of this daemon. */
+    public val availableUpstreams: Int get() = entry?.availableUpstreams ?: 0
+
     /** Whether the daemon takes work. */
     public val isReady: Boolean
         get() = !draining && follower.settings != null && (sidecar?.isReady ?: true) && (entry?.isReady ?: true)
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/GroupName.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/GroupName.kt
@@ -8,5 +8,5 @@
     public const val SETTINGS: String = "settings"
 
     /** Returns the group of the ledgers of [region]. */
-    public fun ledger(region: Region): String = ledgerGroup(region)
+    public fun ledger(region: Region): String = "ledger-${region.value}"
 }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DraftTools.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DraftTools.kt
@@ -2,8 +2,8 @@
 
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
+import org.zinniahoist.daemon.control.GroupName
 import org.zinniahoist.daemon.control.LedgerClient
-import org.zinniahoist.daemon.control.ledgerGroup
 import org.zinniahoist.daemon.timeline.EventRecorder
 import org.zinniahoist.model.Group
 import org.zinniahoist.model.ModelName
@@ -31,7 +31,7 @@
 ) {
     val slots = EngineSlots(links)
 
-    fun group(contract: TrainingContract): String = ledgerGroup(contract.homeRegion)
+    fun group(contract: TrainingContract): String = GroupName.ledger(contract.homeRegion)
 
     /** Newest version that an engine of [model] serves. */
     fun engineVersion(model: ModelName): WeightVersion? =
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/Entry.kt
@@ -32,6 +32,7 @@
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /**
  * The role `entry`: accepts requests of callers and trainers and routes them to sidecars.
@@ -80,6 +81,10 @@
     private val clients = mutableListOf<LinkClient>()
     private var linkServer: LinkServer? = null
     private var server: Server? = null
+    private val startedAt = clock()
+
+    @Volatile
+    private var triedUpstreams = false
 
     /** Answers the calls of other entries. */
     public val peerHandler: LinkHandler = PeerCallee(scope, holdings::onPeerCall)
@@ -92,8 +97,12 @@
     public var linkEndpoint: Endpoint? = null
         private set
 
+    /** Number of upstreams that take new work from this entry. */
+    public val availableUpstreams: Int get() = links.availableUpstreams
+
     /** Whether the load balancer may send requests. */
-    public val isReady: Boolean get() = server != null && !http.draining && inForce.settings != null
+    public val isReady: Boolean
+        get() = server != null && !http.draining && inForce.settings != null && hasTriedUpstreams()
 
     /** Opens the links and the HTTP server. */
     public suspend fun start() {
@@ -146,6 +155,20 @@
         linkEndpoint = bound.start()
     }
 
+    /**
+     * An entry that has just started waits for its first upstream. Later it stays ready without one, because its
+     * refusals are truthful and those of the load balancer are not.
+     */
+    private fun hasTriedUpstreams(): Boolean {
+        if (!triedUpstreams) {
+            triedUpstreams =
+                settings.sidecars.isEmpty() ||
+                links.availableUpstreams > 0 ||
+                clock() - startedAt > LINK_WAIT
+        }
+        return triedUpstreams
+    }
+
     private suspend fun followPlatformList(list: PlatformList) {
         while (true) {
             list.read()?.let { onPlatformList(it.live, it.leaving) }
@@ -177,6 +200,7 @@
 
     private companion object {
         val DEFAULT_DRAIN_BOUND = 20.minutes
+        val LINK_WAIT = 10.seconds
         val DRAIN_CHECK = 20.milliseconds
         const val SHUTDOWN_MILLISECONDS = 5_000L
     }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/LiveService.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/LiveService.kt
@@ -8,7 +8,7 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
-import org.zinniahoist.daemon.control.ledgerGroup
+import org.zinniahoist.daemon.control.GroupName
 import org.zinniahoist.model.Contract
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RefusalReason
@@ -132,7 +132,7 @@
         val once = target is RouteTarget.Service && target.name in contract.nonIdempotentServices
         val terms = (key ?: UUID.randomUUID().toString().takeIf { once })?.let {
             val digest = HexFormat.of().formatHex(RequestPlan.digest(call))
-            IdempotencyTerms(contract.caller, it, digest, ledgerGroup(contract.homeRegion))
+            IdempotencyTerms(contract.caller, it, digest, GroupName.ledger(contract.homeRegion))
         }
         return finish(
             RequestPlan(
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SidecarLinks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SidecarLinks.kt
@@ -36,6 +36,9 @@
     /** Models that a sidecar has announced since the entry started. */
     val models: Set<ModelName> get() = routers.keys.filterIsInstance<RouteTarget.Model>().map { it.name }.toSet()
 
+    /** Number of upstreams that take new work. */
+    val availableUpstreams: Int get() = sidecars.values.count { it.available }
+
     /** Reports of the sidecars of [target] that take work. */
     fun reports(target: RouteTarget): List<LoadReport> =
         sidecars.values.filter { it.target == target && it.available }.map { it.load }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerService.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/TrainerService.kt
@@ -4,8 +4,8 @@
 import kotlinx.serialization.json.buildJsonObject
 import kotlinx.serialization.json.put
 import org.zinniahoist.daemon.control.ControlFailure
+import org.zinniahoist.daemon.control.GroupName
 import org.zinniahoist.daemon.control.LedgerClient
-import org.zinniahoist.daemon.control.ledgerGroup
 import org.zinniahoist.model.FailureReason
 import org.zinniahoist.model.RefusalReason
 import org.zinniahoist.model.RequestIdentifier
@@ -61,7 +61,7 @@
         exchange: Exchange,
         body: ByteArray,
     ): TrainerAnswer {
-        val group = ledgerGroup(terms.contract.homeRegion)
+        val group = GroupName.ledger(terms.contract.homeRegion)
         return when (request) {
             is TrainerRequest.Submit -> submit(request, group, exchange.request)
             is TrainerRequest.Acknowledge -> change(
