Make the quick start cluster configurable and add kill and restart

Cause: tests of failures need three control replicas and daemons that die and return in one process. Change: the cluster takes the number of control replicas (the first is bootstrapped, the others join with empty folders) and has kill, drain, restart and restartEmpty by name; the operator has links to all replicas. The quick start command itself was compiled but not run with this change. Conclusion: failures of real daemons can be tested on loopback.

--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCluster.kt
@@ -6,6 +6,7 @@
 import org.zinniahoist.daemon.control.ControlGroups
 import org.zinniahoist.daemon.timeline.EventRecorder
 import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.Revision
 import org.zinniahoist.settings.DaemonSettings
 import org.zinniahoist.settings.DaemonSettingsReader
 import org.zinniahoist.standin.engine.EngineConfiguration
@@ -15,14 +16,20 @@
 import java.net.ServerSocket
 import java.net.URI
 import java.nio.file.Path
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
-/** One control replica, two entries and four sidecars before stand-in upstreams, all in this process over loopback. */
+/**
+ * Control replicas, two entries and four sidecars before stand-in upstreams, all in this process over loopback.
+ *
+ * @param controlReplicas 1, or 3 to survive the loss of one; the first is bootstrapped and the others join.
+ */
 internal class QuickstartCluster(
     private val folder: Path,
     clockRate: Double,
+    controlReplicas: Int = 1,
     private val events: (String) -> EventRecorder,
-) {
+) : AutoCloseable {
     val engines = List(ENGINES) { index ->
         StandInEngine(
             EngineConfiguration(
@@ -34,22 +41,30 @@
         )
     }
     val service = StandInService()
-    private val ports = freePorts(DAEMONS * 2).iterator()
-    private val linkEndpoints =
-        (listOf("control-1", "entry-1", "entry-2") + samplers() + "orders-1").associateWith {
-            Endpoint(HOST, ports.next())
-        }
-    private val daemons = LinkedHashMap<String, Daemon>()
+    val controlNames = List(controlReplicas) { "control-${it + 1}" }
+    private val names = controlNames + listOf("entry-1", "entry-2") + samplers() + "orders-1"
+    private val ports = freePorts(names.size * 2).iterator()
+    private val linkEndpoints = names.associateWith { Endpoint(HOST, ports.next()) }
+    private val settings by lazy { names.associateWith(::settingsOf) }
+    private val daemons: MutableMap<String, Daemon> = ConcurrentHashMap()
+
+    /** Link addresses of the control replicas. */
+    val controlLinks: List<Endpoint> get() = controlNames.map(linkEndpoints::getValue)
 
     /** Addresses of the entries for callers and trainers. */
     val entries: List<URI>
-        get() = listOf("entry-1", "entry-2").map { URI("http://${daemons.getValue(it).httpEndpoint}") }
+        get() = listOf("entry-1", "entry-2").map(::httpAddress)
+
+    /** Address of the HTTP server of the daemon [name], whether it runs or not. */
+    fun httpAddress(name: String): URI = URI("http://$HOST:${settings.getValue(name).httpPort}")
+
+    /** The running daemon [name]. */
+    fun daemon(name: String): Daemon = daemons.getValue(name)
 
     suspend fun start() {
         engines.forEach { it.start() }
         service.start()
-        val files = linkEndpoints.keys.associateWith { settingsOf(it) }
-        val control = files.getValue("control-1")
+        val control = settings.getValue(controlNames.first())
         val created = ControlGroups.bootstrap(
             control.name,
             checkNotNull(control.control),
@@ -57,20 +72,56 @@
             System.currentTimeMillis(),
         )
         check(created is Either.Right) { "the consensus groups could not be created: $created" }
-        files.forEach { (name, settings) -> daemons[name] = Daemon(settings, events(name)).also { it.start() } }
-        val revision = QuickstartOperator(linkEndpoints.getValue("control-1")).use {
-            it.applyTree(QuickstartTree.text())
-        }
+        names.forEach { restart(it) }
+        val revision = operator().use { it.applyTree(QuickstartTree.text()) }
+        awaitRevision(revision)
+    }
+
+    /** Returns once all running daemons are ready and act on [revision] or a later one. */
+    suspend fun awaitRevision(revision: Revision) {
         while (daemons.values.any { !it.isReady || it.settingsRevision < revision }) delay(READY_CHECK)
     }
 
+    /** A new operator with links to all control replicas. */
+    fun operator() = QuickstartOperator(controlLinks)
+
+    /** Stops the daemon [name] at once, as a crash of its process would. */
+    fun kill(name: String): Unit = checkNotNull(daemons.remove(name)) { "$name does not run" }.close()
+
+    /** Stops the daemon [name] gracefully. */
+    suspend fun drain(name: String): Unit = checkNotNull(daemons.remove(name)) { "$name does not run" }.drain()
+
+    /** Starts the daemon [name], which does not run, with its settings and the files that it left. */
+    suspend fun restart(name: String) {
+        check(name !in daemons) { "$name runs" }
+        daemons[name] = Daemon(settings.getValue(name), events(name)).also { it.start() }
+    }
+
+    /** Starts the daemon [name], which does not run, with its settings and an empty disk. */
+    suspend fun restartEmpty(name: String) {
+        check(name !in daemons) { "$name runs" }
+        check(folder.resolve(name).toFile().deleteRecursively()) { "the folder of $name could not be deleted" }
+        restart(name)
+    }
+
     /** Publishes a weight version, which control rolls out to the engines. */
-    suspend fun publish(version: Long): Unit =
-        QuickstartOperator(linkEndpoints.getValue("control-1")).use { it.publish(version) }
+    suspend fun publish(version: Long): Unit = operator().use { it.publish(version) }
 
     /** Stops entries first, then sidecars and control, each gracefully. */
     suspend fun drain() {
-        daemons.entries.sortedBy { (name, _) -> STOP_ORDER.indexOfFirst(name::startsWith) }.forEach { it.value.drain() }
+        names.filter {
+            it in daemons
+        }.sortedBy { name -> STOP_ORDER.indexOfFirst(name::startsWith) }.forEach { drain(it) }
+        closeUpstreams()
+    }
+
+    /** Stops everything at once. */
+    override fun close() {
+        names.filter { it in daemons }.forEach(::kill)
+        closeUpstreams()
+    }
+
+    private fun closeUpstreams() {
         engines.forEach { it.close() }
         service.close()
     }
@@ -92,12 +143,13 @@
             appendLine("region = ${QuickstartTree.REGION}\nroles = $role\nbranch = ${QuickstartTree.BRANCH}")
             appendLine("http-port = ${ports.next()}\nlink-port = ${linkEndpoints.getValue(name).port}")
             if (role == "control") appendLine("data-folder = ${folder.resolve(name)}")
-            appendLine("[peers]\ncontrol-1 = ${linkEndpoints["control-1"]}")
+            append(section("peers") { it in controlNames })
             append(section("entries") { it.startsWith("entry") })
             append(section("sidecars") { it in samplers() || it == "orders-1" })
             if (role == "sidecar") append(upstream(name))
             if (role == "control") {
-                appendLine("[control]\nsettings-members = control-1\n[ledgers]\n${QuickstartTree.REGION} = control-1")
+                val members = controlNames.joinToString(", ")
+                appendLine("[control]\nsettings-members = $members\n[ledgers]\n${QuickstartTree.REGION} = $members")
             }
         }
     }
@@ -120,7 +172,6 @@
     private companion object {
         const val HOST = "127.0.0.1"
         const val ENGINES = 3
-        const val DAEMONS = 7
         const val FAILURE_DOMAINS = 3
         val STOP_ORDER = listOf("entry", "sampler", "orders", "control")
         val READY_CHECK = 20.milliseconds
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartCommand.kt
@@ -25,13 +25,21 @@
         .default("examples/prompts/hrubec.jsonl")
     private val requests by option(ArgType.String, "requests", description = "Order confirmations (JSON Lines)")
         .default("examples/requests/order-confirmations.jsonl")
+    private val controls by option(
+        ArgType.Choice(listOf("1", "3"), {
+            it
+        }),
+        "controls",
+        description = "Control replicas",
+    )
+        .default("1")
     private val verbose by option(ArgType.Boolean, "verbose", description = "Writes the event log").default(false)
 
     override fun execute() {
         val clock = HybridClock(System::currentTimeMillis)
         val folder = Files.createTempDirectory("zinniahoist-quickstart")
         val stop = AtomicBoolean()
-        val cluster = QuickstartCluster(folder, rate) { name ->
+        val cluster = QuickstartCluster(folder, rate, controls.toInt()) { name ->
             if (verbose) TimelineRecorder(InstanceName(name), clock) else EventRecorder { _, _ -> }
         }
         val hook = Thread { stop.set(true) }
@@ -50,7 +58,7 @@
 
     private fun run(cluster: QuickstartCluster, stop: AtomicBoolean): QuickstartReport = runBlocking {
         cluster.start()
-        println("running: 1 control replica, 2 entries, 4 sidecars before 3 engines and 1 plain service")
+        println("running: control replicas $controls, 2 entries, 4 sidecars before 3 engines and 1 plain service")
         val plan = QuickstartPlan(steps, groups, samples)
         val input = QuickstartInput.read(Path.of(prompts), Path.of(requests))
         QuickstartRun(cluster, plan, input, stop).run().also { cluster.drain() }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartOperator.kt
@@ -12,6 +12,7 @@
 import org.zinniahoist.model.Region
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.settings.BranchEdit
 import org.zinniahoist.settings.DeclaredTreeReader
 import org.zinniahoist.settings.OperatorName
 import org.zinniahoist.settings.SettingsTree
@@ -19,6 +20,7 @@
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.state.coordination.CoordinationAnswer
 import org.zinniahoist.state.coordination.CoordinationCommand
+import org.zinniahoist.state.coordination.CoordinationQuery
 import org.zinniahoist.state.coordination.EditResult
 import org.zinniahoist.wire.ControlMessage
 import org.zinniahoist.wire.HeartbeatContent
@@ -31,8 +33,8 @@
 import org.zinniahoist.wire.Message
 import kotlin.random.Random
 
-/** Edits the settings tree and publishes versions over a link to the control replica. */
-internal class QuickstartOperator(control: Endpoint) :
+/** Edits the settings tree and publishes versions over links to the control replicas. */
+internal class QuickstartOperator(control: List<Endpoint>) :
     LinkHandler,
     AutoCloseable {
     private val clock = { Moment(System.nanoTime()) }
@@ -44,10 +46,10 @@
         FailureDomain("outside", Region("outside")),
         emptySet(),
     )
-    private val link = LinkClient(control, hello, this, { HeartbeatContent() }, clock, Random.Default)
+    private val links = control.map { LinkClient(it, hello, this, { HeartbeatContent() }, clock, Random.Default) }
 
     init {
-        link.start()
+        links.forEach { it.start() }
     }
 
     /** Applies the tree in [text] and returns its revision. */
@@ -76,7 +78,21 @@
 
     override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = client.onClosed(link)
 
-    override fun close(): Unit = link.close()
+    override fun close(): Unit = links.forEach { it.close() }
+
+    /** Submits [edit] and returns its outcome, or null if it is unknown or the group can't be reached. */
+    suspend fun edit(edit: BranchEdit): EditResult? {
+        val command = StateCodec.encode<CoordinationCommand>(CoordinationCommand.Edit(edit))
+        val result = client.command(GroupName.SETTINGS, command) as? ControlResult.Answered ?: return null
+        return (StateCodec.decode<CoordinationAnswer>(result.content) as CoordinationAnswer.Edited).result
+    }
+
+    /** Returns the settings tree by a linearizable read, or null if the group can't be reached. */
+    suspend fun tree(): SettingsTree? {
+        val query = StateCodec.encode<CoordinationQuery>(CoordinationQuery.ReadTree)
+        val result = client.query(GroupName.SETTINGS, query) as? ControlResult.Answered ?: return null
+        return (StateCodec.decode<CoordinationAnswer>(result.content) as CoordinationAnswer.Tree).tree
+    }
 
     private suspend fun command(command: CoordinationCommand): CoordinationAnswer {
         val result = client.command(GroupName.SETTINGS, StateCodec.encode(command))
