--- a/experiment/src/test/kotlin/org/zinniahoist/experiment/failures/LeaseHolderDeathTest.kt
+++ b/experiment/src/test/kotlin/org/zinniahoist/experiment/failures/LeaseHolderDeathTest.kt
@@ -20,7 +20,7 @@
 
 @Timeout(120)
 class LeaseHolderDeathTest {
-    /** Guards against lost, doubled or mislabelled samples when the entry that drafts a step dies in the middle of it. */
+    /** Guards against lost, doubled or mislabelled samples when the entry that drafts a step dies. */
     @Test
     fun `a step completes exactly once after the death of the lease holder`(@TempDir folder: Path) =
         runBlocking<Unit>(Dispatchers.Default) {
@@ -70,7 +70,7 @@
             val identifiers = page.samples.map { it.identifier }
             repeated += identifiers.filter { it in acknowledged }
             if (identifiers.isNotEmpty()) {
-                // Fetches and acknowledgements alternate between the entries, so that one of them can meet the dead one.
+                // Fetches and acknowledgements alternate between the entries, so either can meet the dead one.
                 while (trainer.acknowledge(identifiers) !is TrainerAnswer.Accepted) Thread.sleep(RETRY_MILLISECONDS)
                 acknowledged += identifiers
             }
