--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DeliveryOrder.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DeliveryOrder.kt
@@ -12,7 +12,7 @@
     private val positions = HashMap<AttemptIdentifier, Long>()
     private var last = 0L
 
-    /** Returns the position of [attempt], which is above those of all attempts asked for before it for the first time. */
+    /** Returns the position of [attempt], which is above the positions of all attempts that were asked for earlier. */
     fun positionOf(attempt: AttemptIdentifier): Long = positions.getOrPut(attempt) { ++last }
 
     /** Forgets the positions of all attempts but [attempts]. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
@@ -63,6 +63,7 @@
                 val socket = bound.accept()
                 scope.launch { serve(socket) }
             } catch (fault: IOException) {
+                if (bound.isClosed) return
                 logger.warn { "event=accept-failed detail=\"${fault.message}\"" }
                 delay(ACCEPT_PAUSE)
             }
