Make one settings delta for all subscribers and order swaps in parallel

Cause: docs/CAPACITY.md: a delta made for each of 10,821 subscribers takes 20.6 s at 1,000 branches against 10 s, and 10,000 orders one after another take 9 s of the 14 s of a rollout. Change: the publisher keeps the update for each base revision; the orders of a wave are proposed in parallel. By the slopes a round of settings now takes about 70 ms of processor time; it was not run at the size. Conclusion: settings hold by the sum; the rollout still lacks pushed orders and transfers of weights.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/RolloutCoordinator.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/RolloutCoordinator.kt
@@ -1,5 +1,7 @@
 package org.zinniahoist.daemon.control
 
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 import org.zinniahoist.daemon.timeline.EventRecorder
 import org.zinniahoist.daemon.timeline.record
 import org.zinniahoist.model.InstanceName
@@ -16,6 +18,7 @@
 import org.zinniahoist.state.coordination.CoordinationCommand
 import org.zinniahoist.state.coordination.CoordinationQuery
 import org.zinniahoist.state.coordination.Order
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -31,7 +34,7 @@
     private val events: EventRecorder,
     private val swapTimeout: Duration = 60.seconds,
 ) {
-    private val swapping = HashMap<InstanceName, SwapInProgress>()
+    private val swapping = ConcurrentHashMap<InstanceName, SwapInProgress>()
 
     /** Issues the orders that are due. */
     public suspend fun step(now: Moment) {
@@ -47,9 +50,9 @@
     private suspend fun rollOut(model: ModelName, target: WeightVersion, now: Moment) {
         val engines = observer.observed().mapNotNull { engineState(it, model, target, now) }
         val known = engines.mapNotNull { it.serving }.toSet() + target
-        planner.plan(RolloutState(target, known, engines)).filterIsInstance<RolloutAction.Swap>().forEach { swap ->
-            order(swap.instance, model, swap.version, now)
-        }
+        val swaps = planner.plan(RolloutState(target, known, engines)).filterIsInstance<RolloutAction.Swap>()
+        // One after another, the orders of 10,000 engines would wait for 10,000 syncs.
+        coroutineScope { swaps.forEach { launch { order(it.instance, model, it.version, now) } } }
     }
 
     /** Sidecars hand weights to their engine during the swap, so that each counts as a holder of the target. */
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/SettingsPublisher.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/SettingsPublisher.kt
@@ -11,6 +11,9 @@
 public class SettingsPublisher(private val retainedTrees: Int = DEFAULT_RETAINED_TREES) {
     private val trees = TreeMap<Long, SettingsTree>()
 
+    // Most subscribers have the same revision; making a delta takes 1.9 ms at 1,000 branches.
+    private val updates = HashMap<Revision, ControlMessage.SettingsUpdate>()
+
     /** Revision of the latest committed tree on this replica. */
     public val revision: Revision
         @Synchronized get() = latest()?.revision ?: Revision.NONE
@@ -20,6 +23,7 @@
     public fun onCommitted(tree: SettingsTree) {
         if (tree.revision.value <= (trees.lastEntry()?.key ?: 0L)) return
         trees[tree.revision.value] = tree
+        updates.clear()
         if (trees.size > retainedTrees) trees.pollFirstEntry()
     }
 
@@ -28,12 +32,13 @@
     public fun updateFrom(known: Revision): ControlMessage.SettingsUpdate? {
         val latest = latest() ?: return null
         if (latest.revision <= known) return null
+        return updates.getOrPut(known) { makeUpdate(known, latest) }
+    }
+
+    private fun makeUpdate(known: Revision, latest: SettingsTree): ControlMessage.SettingsUpdate {
         val base = trees[known.value]
-        return if (base == null) {
-            ControlMessage.SettingsUpdate(latest.revision, isDelta = false, StateCodec.encode(latest))
-        } else {
-            ControlMessage.SettingsUpdate(latest.revision, isDelta = true, StateCodec.encode(delta(base, latest)))
-        }
+        val content = if (base == null) StateCodec.encode(latest) else StateCodec.encode(delta(base, latest))
+        return ControlMessage.SettingsUpdate(latest.revision, isDelta = base != null, content)
     }
 
     private fun latest(): SettingsTree? = trees.lastEntry()?.value
