Use plain names in crash detection and link clients

Cause: a few names were figurative. Change: failedAttempts, remainingAttempts, connecting, SHOWN_BROKEN_PROMISES; one comment says what it bounds. Conclusion: the names need no explanation.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashDetector.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/CrashDetector.kt
@@ -74,22 +74,22 @@
     }
 
     private suspend fun judge(alive: Boolean) {
-        val (casualties, survivors) = synchronized(lock) {
+        val (failedAttempts, remainingAttempts) = synchronized(lock) {
             evaluation = null
-            val casualties = broken.toSet()
-            val survivors = running.toSet()
+            val failedAttempts = broken.toSet()
+            val remainingAttempts = running.toSet()
             broken.clear()
-            if (!alive) survivors.forEach { it.isCrashRecorded = true }
-            casualties to survivors
+            if (!alive) remainingAttempts.forEach { it.isCrashRecorded = true }
+            failedAttempts to remainingAttempts
         }
         val now = clock()
-        if (alive && survivors.isNotEmpty()) {
-            casualties.forEach { reports.onEnd(it.fingerprint, finished = false, now) }
+        if (alive && remainingAttempts.isNotEmpty()) {
+            failedAttempts.forEach { reports.onEnd(it.fingerprint, finished = false, now) }
         } else {
-            val involved = if (alive) casualties else casualties + survivors
+            val involved = if (alive) failedAttempts else failedAttempts + remainingAttempts
             events.record("upstream-crashed", "attempts" to involved.map { it.start.attempt }, "restarted" to alive)
             reports.onCrash(involved.mapTo(HashSet()) { it.fingerprint }, now)
-            survivors.forEach { it.exchange?.abort(UpstreamCrashedException()) }
+            remainingAttempts.forEach { it.exchange?.abort(UpstreamCrashedException()) }
             onCrash(alive)
         }
     }
--- a/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartReport.kt
+++ b/experiment/src/main/kotlin/org/zinniahoist/experiment/quickstart/QuickstartReport.kt
@@ -41,7 +41,7 @@
         appendLine("live whole answer     ${milliseconds(answered.map { it.totalNanoseconds })}")
         appendLine("order confirmations   ${count(orders)}, executions $executions")
         append("promises broken       ${brokenPromises.size}")
-        brokenPromises.take(SHOWN_BREACHES).forEach { append("\n  $it") }
+        brokenPromises.take(SHOWN_BROKEN_PROMISES).forEach { append("\n  $it") }
     }
 
     private fun count(outcomes: List<LiveOutcome>): String {
@@ -64,7 +64,7 @@
     private fun percent(share: Double): String = String.format(Locale.ROOT, "%.1f%%", share * PERCENT)
 
     private companion object {
-        const val SHOWN_BREACHES = 10
+        const val SHOWN_BROKEN_PROMISES = 10
         const val SIGNIFICANT_DIGITS = 3
         const val NANOSECONDS_PER_MILLISECOND = 1e6
         const val PERCENT = 100
--- a/policy/src/main/kotlin/org/zinniahoist/policy/liveness/ProbingUpstreamHealth.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/liveness/ProbingUpstreamHealth.kt
@@ -12,7 +12,7 @@
  * @property interval time between two probes.
  * @property failures probes without an answer in a row that mean that the upstream is down.
  * @property quietLimit time without bytes after which a connection is closed although the upstream answers probes. It
- * is far longer than a model thinks, and matters only for upstreams that don't tell their active connections.
+ * is far longer than the time to a first token, and matters only for upstreams that don't name active connections.
  */
 public data class ProbeSettings(
     public val quiet: Duration = 2.seconds,
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
@@ -30,7 +30,7 @@
 ) : AutoCloseable {
     private val end = LinkEnd(hello, handler, heartbeat, clock, limits)
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private var keeper: Job? = null
+    private var connecting: Job? = null
 
     @Volatile
     private var session: LinkSession? = null
@@ -40,14 +40,14 @@
 
     /** Starts to connect. */
     public fun start() {
-        keeper = scope.launch { keepOpen() }
+        connecting = scope.launch { keepOpen() }
     }
 
     /** Closes the link with [reason] and does not open it again. Returns when the handler has been told. */
     public suspend fun stop(reason: String) {
         stopped = true
         session?.close(reason)
-        withTimeoutOrNull(limits.closeTimeout * 2) { keeper?.join() }
+        withTimeoutOrNull(limits.closeTimeout * 2) { connecting?.join() }
         scope.cancel()
     }
 
