Finish the requests in flight when a process is asked to end

Cause: the HTTP client library closes its connections in a shutdown hook of its own, so that a sidecar that drains after SIGTERM loses its upstream; the quick start ended without its graceful stop.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/Main.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
+import com.linecorp.armeria.client.ClientFactory
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
@@ -66,6 +67,8 @@
 
 private fun run(settings: DaemonSettings) {
     (LoggerFactory.getLogger(Logger.ROOT_LOGGER_NAME) as Logger).level = Level.valueOf(settings.logLevel.uppercase())
+    // The hook would close the sidecar's connections to its upstream while the daemon still drains.
+    ClientFactory.disableShutdownHook()
     val timeline = TimelineRecorder(settings.name, HybridClock(System::currentTimeMillis))
     val daemon = Daemon(settings, timeline, configure = TimelineHttp(timeline)::configure)
     val stopped = CountDownLatch(1)
