--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
@@ -36,18 +36,61 @@
     public val voter: Boolean,
 )
 
-/** The members of a group. Consecutive configurations of a log differ in at most one voter. */
+/**
+ * The members of a group.
+ *
+ * Consecutive configurations of a log differ in at most one voter, or the later one is joint: it replaces voters in one
+ * step, and every decision needs a majority of both sets of voters until a settled configuration follows.
+ *
+ * @property previousVoters the voters that are being left, if the configuration is joint, otherwise empty.
+ */
 @Serializable
-public data class Configuration(public val members: List<Member>) {
+public data class Configuration(
+    public val members: List<Member>,
+    public val previousVoters: List<ReplicaIdentifier> = emptyList(),
+) {
     /** Identifiers of the members with a vote. */
     public val voters: List<ReplicaIdentifier>
         get() = members.filter { it.voter }.map { it.address.identifier }
 
+    /** True while decisions need majorities of two sets of voters. */
+    public val isJoint: Boolean get() = previousVoters.isNotEmpty()
+
     /** Returns the member with [identifier], or null. */
     public fun member(identifier: ReplicaIdentifier): Member? = members.find { it.address.identifier == identifier }
 
-    /** Returns true if the member with [identifier] has a vote. */
-    public fun isVoter(identifier: ReplicaIdentifier): Boolean = member(identifier)?.voter == true
+    /** Returns true if the member with [identifier] has a vote, in either set of voters. */
+    public fun isVoter(identifier: ReplicaIdentifier): Boolean =
+        identifier in previousVoters || member(identifier)?.voter == true
+
+    /** Returns the largest value that a majority of each set of voters has reached. */
+    internal fun quorumValue(valueOf: (ReplicaIdentifier) -> Long): Long {
+        val current = majorityValue(voters, valueOf)
+        return if (isJoint) minOf(current, majorityValue(previousVoters, valueOf)) else current
+    }
+
+    /** Returns true if [granted] holds a majority of each set of voters. */
+    internal fun hasMajority(granted: Set<ReplicaIdentifier>): Boolean =
+        quorumValue { if (it in granted) 1 else 0 } == 1L
+
+    private fun majorityValue(voters: List<ReplicaIdentifier>, valueOf: (ReplicaIdentifier) -> Long): Long =
+        voters.map(valueOf).sortedDescending().getOrElse(voters.size / 2) { 0 }
+
+    /** Returns the joint configuration in which the learner [added] takes the vote of [removed]. */
+    internal fun replacing(removed: ReplicaIdentifier, added: ReplicaIdentifier): Configuration = Configuration(
+        members.map {
+            when (it.address.identifier) {
+                added -> it.copy(voter = true)
+                removed -> it.copy(voter = false)
+                else -> it
+            }
+        },
+        previousVoters = voters,
+    )
+
+    /** Returns the configuration that ends this joint one. */
+    internal fun settled(): Configuration =
+        Configuration(members.filter { it.voter || it.address.identifier !in previousVoters })
 
     internal fun withLearner(address: ReplicaAddress): Configuration = Configuration(
         members.filter { it.voter || it.address.instance != address.instance } + Member(address, voter = false),
@@ -72,4 +115,10 @@
 
     /** Removes a replica. */
     public data class Remove(public val identifier: ReplicaIdentifier) : MembershipChange
+
+    /** Gives the vote of [removed] to [added], a learner that has caught up, in one step. */
+    public data class Replace(
+        public val removed: ReplicaIdentifier,
+        public val added: ReplicaIdentifier,
+    ) : MembershipChange
 }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -74,12 +74,15 @@
         winIfMajority()
     }
 
-    private fun campaign() {
+    /** Starts an election without a pre-vote, because the leader asked for it. */
+    fun takeOver() = campaign(leaderAgrees = true)
+
+    private fun campaign(leaderAgrees: Boolean = false) {
         phase = Phase.VOTE
         granted.clear()
         context.setHardState(context.term + 1, context.address.identifier)
         resetDeadline()
-        val request = VoteRequest(context.log.lastIndex, context.log.lastTerm)
+        val request = VoteRequest(context.log.lastIndex, context.log.lastTerm, leaderAgrees)
         otherVoters().forEach { context.sendAfterSync(it, request) }
         val term = context.term
         context.outbox.afterSync {
@@ -97,11 +100,8 @@
     }
 
     private fun otherVoters(): List<ReplicaAddress> = context.log.configuration.members
-        .filter { it.voter && it.address != context.address }
+        .filter { context.log.configuration.isVoter(it.address.identifier) && it.address != context.address }
         .map { it.address }
 
-    private fun hasMajority(): Boolean {
-        val voters = context.log.configuration.voters
-        return voters.count { it in granted } * 2 > voters.size
-    }
+    private fun hasMajority(): Boolean = context.log.configuration.hasMajority(granted)
 }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -78,6 +78,16 @@
     public fun changeMembership(change: MembershipChange): CompletableFuture<GroupAnswer> =
         enqueue(query = null) { ReplicaEvent.ChangeMembership(it, change) }
 
+    /** Names the [instances] that an empty replica asks to let it join, and those that may not join. */
+    public fun introduce(instances: Set<InstanceName>, excluded: Set<InstanceName> = emptySet()) {
+        if (!stopped) queue += ReplicaEvent.Introduce(instances, excluded)
+    }
+
+    /** Hands the leadership over, if this replica has it, before the process stops. */
+    public fun handOver() {
+        if (!stopped) queue += ReplicaEvent.HandOver
+    }
+
     /** Hands over a message that arrived from another replica. */
     public fun receive(message: ReplicaMessage) {
         if (!stopped) queue += ReplicaEvent.Receive(message)
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -78,7 +78,7 @@
         val since = lastQuorumCheck
         lastQuorumCheck = context.now
         val present = progress.values.filter { it.lastContact >= since }.map { it.address.identifier }.toSet()
-        return quorumValue({ if (it in present) 1 else 0 }) { 1 } == 1L
+        return log.configuration.hasMajority(present + context.address.identifier)
     }
 
     fun onAppendResponse(from: ReplicaIdentifier, response: AppendResponse) {
@@ -161,11 +161,18 @@
         }
     }
 
-    /** Returns the largest value that a majority of the voters has reached. */
-    private fun quorumValue(ofPeer: (ReplicaIdentifier) -> Long, ofSelf: () -> Long): Long {
-        val voters = log.configuration.voters
-        val values = voters.map { if (it == context.address.identifier) ofSelf() else ofPeer(it) }.sortedDescending()
-        return values[voters.size / 2]
+    private fun quorumValue(ofPeer: (ReplicaIdentifier) -> Long, ofSelf: () -> Long): Long =
+        log.configuration.quorumValue { if (it == context.address.identifier) ofSelf() else ofPeer(it) }
+
+    /** Asks the voter with the longest log to take over at once. Returns false if there is none in contact. */
+    fun transfer(): Boolean {
+        val successor = progress.values
+            .filter { log.configuration.member(it.address.identifier)?.voter == true }
+            .filter { context.now - it.lastContact < options.electionTimeout }
+            .maxByOrNull { it.matchIndex }
+            ?: return false
+        context.send(successor.address, ReplicaMessageContent.TakeOver)
+        return true
     }
 
     private class Proposal(
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
@@ -1,8 +1,12 @@
 package org.zinniahoist.consensus
 
+import org.zinniahoist.model.InstanceName
+
 /**
- * Decides on changes of the configuration. Each change adds or removes at most one voter, and none is made while
- * another is uncommitted.
+ * Decides on changes of the configuration. None is made while another is uncommitted.
+ *
+ * A voter is added or removed alone. A voter is replaced by a joint configuration: without one, the group would have to
+ * bear a second loss with one voter less, or with a new voter on whose disk the majority already depends.
  */
 internal class Membership(
     private val context: ReplicaContext,
@@ -13,7 +17,7 @@
 
     /** Returns the configuration after [change], or null if it is not allowed now. */
     fun changed(change: MembershipChange): Configuration? {
-        if (!isSettled) return null
+        if (!isSettled || configuration.isJoint) return null
         return when (change) {
             is MembershipChange.Add -> {
                 if (configuration.member(change.address.identifier) != null) return null
@@ -24,43 +28,62 @@
                 if (configuration.member(change.identifier) == null) return null
                 configuration.without(change.identifier).takeIf { it.voters.isNotEmpty() }
             }
+
+            is MembershipChange.Replace -> {
+                val valid = configuration.member(change.removed)?.voter == true && isReady(change.added)
+                if (valid) configuration.replacing(change.removed, change.added) else null
+            }
         }
     }
 
     /** Returns the configuration with [from] as a learner, or null if [from] may not join now. */
     fun onJoin(from: ReplicaAddress): Configuration? {
-        if (!isSettled || from.instance !in context.options.memberInstances) return null
+        if (!isSettled || configuration.isJoint || !isAdmissible(from.instance)) return null
         if (configuration.member(from.identifier) != null || from.instance == context.address.instance) return null
         val sameInstance = configuration.members.filter { it.address.instance == from.instance }
         if (sameInstance.any { isPresent(it.address.identifier) }) return null
-        return configuration.withLearner(from)
+        val isNeeded = sameInstance.isNotEmpty() || configuration.voters.size < context.options.targetVoters
+        val learners = configuration.members.filter { !it.voter && it.address.instance != from.instance }
+        val goneLearner = learners.find { isAbsent(it.address.identifier) }
+        if (isNeeded || learners.size < context.options.spareLearners) return configuration.withLearner(from)
+        return goneLearner?.let { configuration.without(it.address.identifier).withLearner(from) }
     }
 
-    /**
-     * Returns the next configuration on the way of a learner to a vote, or null if there is none.
-     *
-     * A replica that the learner replaces on the same instance is removed first: replacing it in one step could give
-     * two disjoint majorities.
-     */
+    private fun isAdmissible(instance: InstanceName): Boolean =
+        instance !in context.excluded &&
+            (context.options.acceptsUnknownInstances || instance in context.options.memberInstances)
+
+    /** Returns the next configuration on the way of a learner to a vote, or null if there is none. */
     fun onTick(): Configuration? {
         if (!isSettled) return null
-        val learner =
-            configuration.members.find {
-                !it.voter && progress[it.address.identifier]?.caughtUp == true && isPresent(it.address.identifier)
-            } ?: return null
-        val replaced =
-            configuration.members.find {
-                it.voter && it.address.instance == learner.address.instance && it.address != context.address
-            }
-        return if (replaced != null) {
-            configuration.without(replaced.address.identifier)
-        } else {
-            configuration.promoted(learner.address.identifier)
-        }
+        if (configuration.isJoint) return configuration.settled()
+        val ready = configuration.members
+            .filter { !it.voter && it.address.instance !in context.excluded && isReady(it.address.identifier) }
+        for (learner in ready) replacementBy(learner.address)?.let { return it }
+        val learner = ready.firstOrNull() ?: return null
+        val mayGrow = configuration.voters.size < context.options.targetVoters
+        return if (mayGrow) configuration.promoted(learner.address.identifier) else null
+    }
+
+    /** A voter on the same instance lost its disk; otherwise a voter that stays silent is replaced. */
+    private fun replacementBy(learner: ReplicaAddress): Configuration? {
+        val others = configuration.members.filter { it.voter && it.address != context.address }
+        val replaced = others.find { it.address.instance == learner.instance }
+            ?: others.find { isAbsent(it.address.identifier) }
+            ?: return null
+        return configuration.replacing(replaced.address.identifier, learner.identifier)
     }
 
+    private fun isReady(identifier: ReplicaIdentifier): Boolean =
+        progress[identifier]?.caughtUp == true && isPresent(identifier)
+
     private fun isPresent(identifier: ReplicaIdentifier): Boolean {
         val contact = progress[identifier]?.lastContact ?: return false
         return context.now - contact < context.options.electionTimeout
     }
+
+    private fun isAbsent(identifier: ReplicaIdentifier): Boolean {
+        val contact = progress[identifier]?.lastContact ?: return true
+        return context.now - contact >= context.options.absenceLimit
+    }
 }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -7,6 +7,7 @@
 import org.zinniahoist.consensus.ReplicaMessageContent.PreVoteResponse
 import org.zinniahoist.consensus.ReplicaMessageContent.SnapshotRequest
 import org.zinniahoist.consensus.ReplicaMessageContent.SnapshotResponse
+import org.zinniahoist.consensus.ReplicaMessageContent.TakeOver
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteRequest
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteResponse
 import org.zinniahoist.model.InstanceName
@@ -34,6 +35,7 @@
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
     private var lastJoinRequest: Moment = now
+    private var joinTargets = options.memberInstances
 
     /**
      * True once a candidate with an older log asked this replica. A learner in this position must campaign: the
@@ -86,6 +88,13 @@
 
             is ReplicaEvent.ChangeMembership -> leader?.changeMembership(event) ?: refuse(event.request)
 
+            is ReplicaEvent.Introduce -> {
+                joinTargets = event.instances
+                context.excluded = event.excluded
+            }
+
+            is ReplicaEvent.HandOver -> leader?.transfer()
+
             is ReplicaEvent.Persisted -> {
                 context.log.onPersisted(event.sequence)
                 context.outbox.onPersisted(event.sequence)
@@ -118,7 +127,7 @@
         if (context.log.configuration.member(address.identifier) != null) return
         if (context.now - lastJoinRequest < context.options.electionTimeout) return
         lastJoinRequest = context.now
-        for (instance in context.options.memberInstances) {
+        for (instance in joinTargets) {
             if (instance == address.instance) continue
             val message = ReplicaMessage(address, null, term, JoinRequest)
             context.outbox.emit(ReplicaAction.Send(instance, message))
@@ -129,9 +138,11 @@
         if (message.to != null && message.to != address.identifier) return
         val content = message.content
         when (content) {
-            is JoinRequest -> leader?.onJoin(message.from)
+            is JoinRequest -> receiveJoin(message)
 
             is PreVoteRequest -> {
+                // A replica that was replaced while it was away campaigns with its old configuration.
+                leader?.onJoin(message.from)
                 if (!context.log.isUpToDate(content.lastIndex, content.lastTerm)) refusedOlderLog = true
                 election.answerPreVote(message.from, content, leaderIsAlive())
             }
@@ -142,7 +153,7 @@
             }
 
             else -> {
-                if (content is VoteRequest && leaderIsAlive()) return
+                if (content is VoteRequest && !content.leaderAgrees && leaderIsAlive()) return
                 if (message.term > term) becomeFollower(message.term, null)
                 if (message.term < term) answerStale(message) else receiveInTerm(message.from, content)
             }
@@ -176,10 +187,25 @@
 
             is SnapshotResponse -> leader?.onSnapshotResponse(from.identifier, content)
 
+            is TakeOver -> if (leader == null && context.isVoter) takeOver()
+
             is JoinRequest, is PreVoteRequest, is PreVoteResponse -> Unit
         }
     }
 
+    private fun receiveJoin(message: ReplicaMessage) {
+        val leading = leader
+        if (leading != null) return leading.onJoin(message.from)
+        val known = leaderAddress ?: return
+        if (message.from.instance == known.instance || message.from == address) return
+        context.outbox.emit(ReplicaAction.Send(known.instance, message.copy(to = known.identifier)))
+    }
+
+    private fun takeOver() {
+        leaderAddress = null
+        election.takeOver()
+    }
+
     private fun hearLeader(from: ReplicaAddress) {
         check(leader == null) { "two leaders in term $term: $address and $from" }
         if (leaderAddress != from) becomeFollower(term, from)
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.consensus
 
+import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Moment
 import kotlin.random.Random
 
@@ -15,6 +16,9 @@
     val outbox = Outbox()
     var commitIndex: Long = log.snapshot?.index ?: 0
     var appliedIndex: Long = commitIndex
+
+    /** Instances whose replicas get no place in the group. */
+    var excluded: Set<InstanceName> = emptySet()
     private var hardState = recovered.hardState
     private var hardStateChanged = false
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaEvent.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaEvent.kt
@@ -1,5 +1,7 @@
 package org.zinniahoist.consensus
 
+import org.zinniahoist.model.InstanceName
+
 /** Input of a [Replica]. */
 public sealed interface ReplicaEvent {
     /** Time has passed. Expected at least every [ReplicaOptions.heartbeatInterval]. */
@@ -29,6 +31,19 @@
         public val change: MembershipChange,
     ) : ReplicaEvent
 
+    /**
+     * The replicas on [instances] may know the group; an empty replica asks them to join.
+     *
+     * @property excluded instances whose replicas may not join, because their machines are being emptied.
+     */
+    public data class Introduce(
+        public val instances: Set<InstanceName>,
+        public val excluded: Set<InstanceName> = emptySet(),
+    ) : ReplicaEvent
+
+    /** The process is about to stop: the leader hands over to another voter. */
+    public data object HandOver : ReplicaEvent
+
     /** The action [ReplicaAction.Persist] with this [sequence], and all before it, are synced. */
     public data class Persisted(public val sequence: Long) : ReplicaEvent
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaMessage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaMessage.kt
@@ -38,11 +38,17 @@
         public val granted: Boolean,
     ) : ReplicaMessageContent
 
-    /** Asks for a vote in the sender's term. */
+    /**
+     * Asks for a vote in the sender's term.
+     *
+     * @property leaderAgrees true if the leader asked the sender to take over, so that its recent contact is no reason
+     * to refuse.
+     */
     @Serializable
     public data class VoteRequest(
         public val lastIndex: Long,
         public val lastTerm: Long,
+        public val leaderAgrees: Boolean = false,
     ) : ReplicaMessageContent
 
     /** Answers a [VoteRequest]. */
@@ -102,7 +108,11 @@
         public val round: Long,
     ) : ReplicaMessageContent
 
-    /** Asks the leader, if the receiver is the leader, to add the sender as a learner. */
+    /** The leader stops and asks the receiver to campaign at once. */
+    @Serializable
+    public data object TakeOver : ReplicaMessageContent
+
+    /** Asks the leader to add the sender as a learner. A follower passes it on to the leader. */
     @Serializable
     public data object JoinRequest : ReplicaMessageContent
 }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
@@ -18,6 +18,12 @@
  * @property snapshotInterval applied entries after which a snapshot is taken.
  * @property trailingEntries entries kept in memory before a snapshot, for replicas that lag a little.
  * @property memberInstances instances whose replicas may join by themselves when their folder is empty.
+ * @property acceptsUnknownInstances true if replicas on other instances may join as well.
+ * @property targetVoters learners get a vote of their own up to this number of voters; beyond it they are spares that
+ * replace a lost voter.
+ * @property spareLearners learners that may wait for a vote when there are enough voters.
+ * @property absenceLimit silence after which a voter may lose its vote to a spare. Longer than a restart of a process,
+ * so that a restart costs no replacement.
  */
 public data class ReplicaOptions(
     public val heartbeatInterval: Duration = 100.milliseconds,
@@ -29,4 +35,8 @@
     public val snapshotInterval: Long = 200_000,
     public val trailingEntries: Long = 10_000,
     public val memberInstances: Set<InstanceName> = emptySet(),
+    public val acceptsUnknownInstances: Boolean = false,
+    public val targetVoters: Int = Int.MAX_VALUE,
+    public val spareLearners: Int = 1,
+    public val absenceLimit: Duration = 2_500.milliseconds,
 )
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/GatewayProcess.kt
@@ -0,0 +1,29 @@
+package org.zinniahoist.gateway
+
+import org.zinniahoist.gateway.core.CoreProcess
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.entry.EntryProcess
+import org.zinniahoist.model.Moment
+import org.zinniahoist.settings.GatewayRole
+import org.zinniahoist.settings.GatewaySettings
+
+/** One process of a gateway deployment. */
+public interface GatewayProcess {
+    /** Starts to serve. */
+    public fun start()
+
+    /** Finishes what was begun and stops. Returns when the process may end. */
+    public fun stop()
+
+    public companion object {
+        /** Returns the process for the role in [settings]. */
+        public fun of(
+            settings: GatewaySettings,
+            dialect: PlatformDialect,
+            clock: () -> Moment = { Moment(System.nanoTime()) },
+        ): GatewayProcess = when (settings.role) {
+            GatewayRole.ENTRY -> EntryProcess(settings, dialect, clock)
+            GatewayRole.CORE -> CoreProcess(settings, dialect, clock)
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -0,0 +1,126 @@
+package org.zinniahoist.gateway.core
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.zinniahoist.consensus.GroupHost
+import org.zinniahoist.consensus.ReplicaMessage
+import org.zinniahoist.gateway.link.PeerLinks
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.wire.ControlMessage
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkHandler
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.Message
+import org.zinniahoist.wire.ServiceMessage
+import java.util.concurrent.ConcurrentHashMap
+
+/** Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. */
+internal class CoreLinks(
+    private val machineName: String,
+    hello: LinkMessage.Hello,
+    private val jobs: JobCalls,
+    private val scope: CoroutineScope,
+    clock: () -> Moment,
+) : LinkHandler {
+    private val self = hello.instance
+    private val inbound = ConcurrentHashMap.newKeySet<LinkConnection>()
+    private val machines = ConcurrentHashMap<String, InstanceName>(mapOf(machineName to self))
+    private val peers = PeerLinks(hello, Outbound(), clock)
+
+    @Volatile
+    private var lastMembers = ServiceMessage.Members(emptyList(), leader = null)
+
+    @Volatile
+    private var lastUpstreams: List<ListedUpstream>? = null
+
+    /** The replica that messages are for; set before links are accepted. */
+    lateinit var host: GroupHost
+
+    /** Returns the replica on the machine with the operator's name [machine], or null. */
+    fun replicaOn(machine: String): InstanceName? = machines[machine]
+
+    /** Replicas that can be reached, this one included. */
+    val reachable: Set<InstanceName> get() = peers.connected + self
+
+    fun send(instance: InstanceName, message: ReplicaMessage) {
+        peers.offer(instance, ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
+    }
+
+    /** Keeps links to the other [replicas] and tells everybody about [members]. */
+    fun update(replicas: Set<InstanceName>, members: ServiceMessage.Members) {
+        peers.keep(replicas - self)
+        if (members == lastMembers) return
+        lastMembers = members
+        logger.info { "event=members members=${members.members.joinToString(",")} leader=${members.leader}" }
+        inbound.forEach { it.offer(members) }
+    }
+
+    /** Tells everybody that [revision] is applied here. */
+    fun announce(revision: Revision) = inbound.forEach { it.offer(ServiceMessage.Configured(revision)) }
+
+    /** Sends the platform's list to the entries. */
+    fun publish(entries: List<ListedUpstream>) {
+        val message = ServiceMessage.Upstreams(entries.takeIf { it != lastUpstreams })
+        lastUpstreams = entries
+        entryLinks().forEach { it.offer(message) }
+    }
+
+    /** Forgets the list that was sent last, because another replica reads it from now on. */
+    fun stopPublishing() {
+        lastUpstreams = null
+    }
+
+    private fun entryLinks() = inbound.filter { Role.ENTRY in it.peer.roles }
+
+    override fun onOpen(link: LinkConnection) {
+        inbound += link
+        if (lastMembers.members.isNotEmpty()) link.offer(lastMembers)
+        lastUpstreams?.let { link.offer(ServiceMessage.Upstreams(it)) }
+    }
+
+    override suspend fun onMessage(link: LinkConnection, message: Message) {
+        when (message) {
+            is ControlMessage.ReplicaTraffic -> receive(message)
+            is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
+            is ServiceMessage.Call -> scope.launch {
+                link.send(ServiceMessage.Reply(message.identifier, jobs.answer(message.call)))
+            }
+            else -> Unit
+        }
+    }
+
+    private fun receive(traffic: ControlMessage.ReplicaTraffic) {
+        try {
+            host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
+        } catch (fault: IllegalArgumentException) {
+            logger.warn { "event=replica-message-damaged detail=\"${fault.message}\"" }
+        }
+    }
+
+    override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
+        inbound -= link
+    }
+
+    fun close(): Unit = peers.close()
+
+    private inner class Outbound : LinkHandler {
+        override fun onOpen(link: LinkConnection) {
+            link.offer(ServiceMessage.Machine(machineName))
+        }
+
+        override suspend fun onMessage(link: LinkConnection, message: Message): Unit = Unit
+
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = Unit
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -0,0 +1,131 @@
+package org.zinniahoist.gateway.core
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.withTimeoutOrNull
+import org.zinniahoist.consensus.GroupFailure
+import org.zinniahoist.consensus.GroupHost
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.ItemResult
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ServiceAnswer
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.ServiceCall
+import org.zinniahoist.wire.ServiceReply
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Answers the calls of other processes from the replicated state. */
+internal class JobCalls(
+    private val dialect: PlatformDialect,
+    private val machine: ServiceStateMachine,
+    private val host: () -> GroupHost,
+) {
+    private val waiters = ConcurrentHashMap<JobIdentifier, CompletableDeferred<Unit>>()
+
+    /** Wakes the readers of a job that changed. */
+    fun onJob(record: JobRecord) {
+        waiters.remove(record.job.identifier)?.complete(Unit)
+    }
+
+    suspend fun answer(call: ServiceCall): ServiceReply = when (call) {
+        is ServiceCall.AppliedConfiguration -> applied(call)
+        is ServiceCall.NewestConfiguration -> confirmed { document() ?: ServiceReply.NotFound }
+        is ServiceCall.SubmitJob -> submit(call)
+        is ServiceCall.ReadJob -> readJob(call)
+        is ServiceCall.ReadItem -> confirmed { readItem(call) }
+        is ServiceCall.EndJob -> propose(ServiceCommand.EndJob(JobIdentifier(call.job)))
+    }
+
+    private fun applied(call: ServiceCall.AppliedConfiguration): ServiceReply =
+        document()?.takeIf { it.revision > call.known } ?: ServiceReply.Done
+
+    private fun document(): ServiceReply.Document? =
+        machine.configuration?.let { ServiceReply.Document(it.revision, it.document) }
+
+    private suspend fun submit(call: ServiceCall.SubmitJob): ServiceReply {
+        if (machine.job(JobIdentifier(call.job)) != null) return confirmed { ServiceReply.Done }
+        if (!host().status.isLeader) return ServiceReply.NotLeader(host().status.leader)
+        return dialect.job(call.job, call.host, call.path, call.body).fold(
+            { fault ->
+                logger.info { "event=job-refused job=${call.job} fault=\"$fault\"" }
+                ServiceReply.Invalid(fault)
+            },
+            { job ->
+                val reply = propose(ServiceCommand.SubmitJob(job))
+                logger.info { "event=job-submitted job=${call.job} items=${job.items.size} reply=${nameOf(reply)}" }
+                reply
+            },
+        )
+    }
+
+    private suspend fun readJob(call: ServiceCall.ReadJob): ServiceReply {
+        val identifier = JobIdentifier(call.job)
+        val first = confirmed { machine.job(identifier)?.let { ServiceReply.Done } ?: ServiceReply.NotFound }
+        if (first !is ServiceReply.Done) return first
+        val record = machine.job(identifier) ?: return ServiceReply.NotFound
+        if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
+        awaitResult(record, call)
+        return ServiceReply.Content(page(record, call.after))
+    }
+
+    private suspend fun awaitResult(record: JobRecord, call: ServiceCall.ReadJob) {
+        if (call.waitMilliseconds <= 0) return
+        withTimeoutOrNull(call.waitMilliseconds.milliseconds) {
+            while (record.results.size <= call.after && !record.isEnded) {
+                val waiter = waiters.computeIfAbsent(record.job.identifier) { CompletableDeferred() }
+                if (record.results.size <= call.after && !record.isEnded) waiter.await()
+            }
+        }
+    }
+
+    private fun page(record: JobRecord, after: Int): ByteArray {
+        val page = ArrayList<ItemResult>()
+        var bytes = 0
+        for (result in record.results.drop(after)) {
+            bytes += dialect.sizeOf(result)
+            if (page.isNotEmpty() && bytes > PAGE_BYTES) break
+            page += result
+        }
+        return dialect.jobPage(record.job.items.size, after, page)
+    }
+
+    private fun readItem(call: ServiceCall.ReadItem): ServiceReply {
+        val item = machine.job(JobIdentifier(call.job))?.item(RequestIdentifier(call.item))
+        return item?.let { ServiceReply.Content(it.body) } ?: ServiceReply.NotFound
+    }
+
+    /** Answers from a state that holds all that was acknowledged before. */
+    private suspend fun confirmed(answer: () -> ServiceReply): ServiceReply =
+        host().query(NOTHING).await().fold(::refusal) { answer() }
+
+    /** Proposes [command]; the reply says whether it holds. */
+    suspend fun propose(command: ServiceCommand): ServiceReply =
+        host().propose(StateCodec.encode<ServiceCommand>(command)).await().fold(::refusal) { bytes ->
+            when (StateCodec.decode<ServiceAnswer>(bytes)) {
+                is ServiceAnswer.UnknownJob -> ServiceReply.NotFound
+                else -> ServiceReply.Done
+            }
+        }
+
+    private fun refusal(failure: GroupFailure): ServiceReply = when (failure) {
+        is GroupFailure.NotLeader -> ServiceReply.NotLeader(failure.hint)
+        is GroupFailure.Unavailable -> ServiceReply.Unavailable(failure.reason)
+        is GroupFailure.OutcomeUnknown -> ServiceReply.OutcomeUnknown(failure.reason)
+    }
+
+    private fun nameOf(reply: ServiceReply): String = reply::class.simpleName.orEmpty()
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        val NOTHING = ByteArray(0)
+
+        /** Below the megabyte that a reader accepts, with room for the names of fields. */
+        const val PAGE_BYTES = 900_000
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
@@ -0,0 +1,157 @@
+package org.zinniahoist.gateway.core
+
+import com.linecorp.armeria.common.AggregatedHttpRequest
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.future.future
+import kotlinx.coroutines.withTimeoutOrNull
+import org.zinniahoist.consensus.GroupHost
+import org.zinniahoist.gateway.dialect.OperatorCall
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.link.DocumentCompression
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.policy.routes.ServiceConfiguration
+import org.zinniahoist.policy.routes.faultOf
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.ServiceCall
+import org.zinniahoist.wire.ServiceReply
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The operators' and trainers' calls. Replicas that don't lead send the caller to the leader. */
+internal class OperatorHttp(
+    private val dialect: PlatformDialect,
+    private val jobs: JobCalls,
+    private val machine: ServiceStateMachine,
+    private val host: GroupHost,
+    private val links: CoreLinks,
+    private val retirements: Retirements,
+    private val scope: CoroutineScope,
+    private val port: Int,
+) : HttpService {
+    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse =
+        HttpResponse.of(scope.future { answer(request) })
+
+    private suspend fun answer(request: HttpRequest): HttpResponse {
+        val method = request.method().name
+        val path = request.path()
+        val call = dialect.operatorCall(method, path.substringBefore('?'))
+        val whole = try {
+            request.aggregate().await()
+        } catch (failure: Exception) {
+            logger.info { "event=operator-request-broken path=$path cause=\"$failure\"" }
+            return HttpResponse.of(HttpStatus.BAD_REQUEST)
+        }
+        if (call == null) return HttpResponse.of(HttpStatus.NOT_FOUND)
+        val response = withTimeoutOrNull(ANSWER_TIMEOUT) { carryOut(call, whole) }
+            ?: Outcome(HttpStatus.SERVICE_UNAVAILABLE, "no outcome within $ANSWER_TIMEOUT")
+        logger.info {
+            "event=operator-call call=$call status=${response.status.code()} bytes=${whole.content().length()} " +
+                "detail=\"${response.detail}\""
+        }
+        return response.toHttp(path)
+    }
+
+    private suspend fun carryOut(call: OperatorCall, request: AggregatedHttpRequest): Outcome = when (call) {
+        is OperatorCall.Configure -> configure(request.content().array())
+        is OperatorCall.ReadConfiguration -> readConfiguration()
+        is OperatorCall.NameVersion -> nameVersion(request.content().array())
+        is OperatorCall.Retire -> retire(call.machine)
+        is OperatorCall.ReadRetirement -> readRetirement(call.machine)
+    }
+
+    private suspend fun configure(document: ByteArray): Outcome = dialect.configuration(document).fold(
+        { Outcome(HttpStatus.BAD_REQUEST, it.toString()) },
+        { configuration -> faultOf(configuration)?.let { Outcome(HttpStatus.BAD_REQUEST, it.toString()) } ?: accept(configuration, document) },
+    )
+
+    private suspend fun accept(configuration: ServiceConfiguration, document: ByteArray): Outcome {
+        if (!host.status.isLeader) return elsewhere(host.status.leader)
+        val command = ServiceCommand.AcceptConfiguration(configuration.revision, DocumentCompression.compress(document))
+        return outcome(jobs.propose(command), "revision ${configuration.revision}")
+    }
+
+    private suspend fun readConfiguration(): Outcome = when (val reply = jobs.answer(ServiceCall.NewestConfiguration)) {
+        is ServiceReply.Document ->
+            Outcome(HttpStatus.OK, "revision ${reply.revision}", DocumentCompression.expand(reply.content))
+
+        is ServiceReply.NotFound -> Outcome(HttpStatus.SERVICE_UNAVAILABLE, "no configuration yet")
+
+        else -> outcome(reply, "")
+    }
+
+    private suspend fun nameVersion(body: ByteArray): Outcome {
+        val named = dialect.namedVersion(body) ?: return Outcome(HttpStatus.BAD_REQUEST, "unreadable")
+        val command = ServiceCommand.NameVersion(named.model, named.version)
+        return outcome(jobs.propose(command), "model ${named.model} version ${named.version}")
+    }
+
+    private suspend fun retire(name: String): Outcome {
+        if (!host.status.isLeader) return elsewhere(host.status.leader)
+        val instance = links.replicaOn(name) ?: return Outcome(HttpStatus.NOT_FOUND, "unknown machine")
+        val others = machine.retirements.filterKeys { it != name }.values.map { it.instance }.toSet()
+        val isKnown = name in machine.retirements
+        if (!isKnown && !retirements.mayRetire(instance, others)) {
+            return Outcome(HttpStatus.CONFLICT, "too few would remain")
+        }
+        return outcome(jobs.propose(ServiceCommand.RetireInstance(name, instance)), "instance $instance")
+    }
+
+    private suspend fun readRetirement(name: String): Outcome {
+        val reply = jobs.answer(ServiceCall.NewestConfiguration)
+        if (reply !is ServiceReply.Document && reply !is ServiceReply.NotFound) return outcome(reply, "")
+        val retirement = machine.retirements[name] ?: return Outcome(HttpStatus.NOT_FOUND, "not retiring")
+        val isComplete = retirements.isComplete(retirement.instance)
+        return Outcome(HttpStatus.OK, "complete $isComplete", dialect.retirement(isComplete))
+    }
+
+    private fun outcome(reply: ServiceReply, detail: String): Outcome = when (reply) {
+        is ServiceReply.Done -> Outcome(HttpStatus.OK, detail)
+        is ServiceReply.NotLeader -> elsewhere(reply.leader)
+        is ServiceReply.Unavailable -> Outcome(HttpStatus.SERVICE_UNAVAILABLE, reply.detail)
+        is ServiceReply.OutcomeUnknown -> Outcome(HttpStatus.SERVICE_UNAVAILABLE, reply.detail)
+        is ServiceReply.Invalid -> Outcome(HttpStatus.BAD_REQUEST, reply.detail)
+        else -> Outcome(HttpStatus.SERVICE_UNAVAILABLE, "unexpected reply")
+    }
+
+    private fun elsewhere(leader: InstanceName?): Outcome {
+        val host = leader?.let { Endpoint.parse(it.value) }?.host
+        return if (host == null) {
+            Outcome(HttpStatus.SERVICE_UNAVAILABLE, "no leader")
+        } else {
+            Outcome(HttpStatus.TEMPORARY_REDIRECT, "leader $leader", redirect = Endpoint(host, port))
+        }
+    }
+
+    private class Outcome(
+        val status: HttpStatus,
+        val detail: String,
+        val content: ByteArray = EMPTY,
+        val redirect: Endpoint? = null,
+    ) {
+        fun toHttp(path: String): HttpResponse {
+            val headers = ResponseHeaders.builder(status).contentType(MediaType.JSON)
+            if (redirect != null) headers.set("location", "http://$redirect$path")
+            return HttpResponse.of(headers.build(), HttpData.wrap(if (content.isEmpty()) EMPTY_OBJECT else content))
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        val EMPTY = ByteArray(0)
+        val EMPTY_OBJECT = "{}".encodeToByteArray()
+
+        /** Callers move on after a second. */
+        val ANSWER_TIMEOUT = 900.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
@@ -0,0 +1,83 @@
+package org.zinniahoist.gateway.core
+
+import arrow.core.getOrElse
+import com.dynatrace.hash4j.hashing.Hashing
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.consensus.Configuration
+import org.zinniahoist.consensus.DiskFileStore
+import org.zinniahoist.consensus.GroupHost
+import org.zinniahoist.consensus.GroupStorage
+import org.zinniahoist.consensus.Member
+import org.zinniahoist.consensus.ReplicaAddress
+import org.zinniahoist.consensus.ReplicaIdentifier
+import org.zinniahoist.consensus.ReplicaOptions
+import org.zinniahoist.consensus.ReplicaTransport
+import org.zinniahoist.consensus.StateMachine
+import org.zinniahoist.consensus.StorageError
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.settings.GatewaySettings
+import java.nio.file.Path
+import java.security.SecureRandom
+
+/** Opens the replica of the service group on this instance. */
+internal object ReplicaGroup {
+    private val logger = KotlinLogging.logger {}
+
+    /** Name of the group in log lines and messages. */
+    const val NAME = "service"
+
+    /** The replica of [settings]' machine is named by the address of its links. */
+    fun instanceOf(settings: GatewaySettings): InstanceName = InstanceName("${settings.address}:${settings.linkPort}")
+
+    /** The replicas that the settings name. */
+    fun seedsOf(settings: GatewaySettings): Set<InstanceName> =
+        settings.seeds.map { InstanceName("${it.host}:${settings.linkPort}") }.toSet()
+
+    fun open(settings: GatewaySettings, machine: StateMachine, transport: ReplicaTransport): GroupHost {
+        val instance = instanceOf(settings)
+        val folder = Path.of(checkNotNull(settings.dataFolder) { "a core needs a data folder" }).resolve(NAME)
+        val files = DiskFileStore(folder)
+        val seeds = seedsOf(settings)
+        if (settings.firstStart && instance in seeds && files.list().isEmpty()) bootstrap(files, instance, seeds)
+        val opened = GroupStorage.open(files, freshIdentifier(), SEGMENT_BYTES).getOrElse { fail(it) }
+        val host = GroupHost(NAME, instance, machine, opened, transport, optionsOf(settings))
+        host.introduce(seeds)
+        return host
+    }
+
+    /** All first replicas must begin with the same configuration, so their identifiers follow from their addresses. */
+    private fun bootstrap(files: DiskFileStore, instance: InstanceName, seeds: Set<InstanceName>) {
+        val members = seeds.sortedBy { it.value }.map { Member(ReplicaAddress(identifierOf(it), it), voter = true) }
+        GroupStorage.bootstrap(files, identifierOf(instance), Configuration(members), timeMilliseconds = 0)
+            .getOrElse { fail(it) }
+        logger.info { "event=group-bootstrapped members=${seeds.joinToString(",")}" }
+    }
+
+    private fun fail(error: StorageError): Nothing = throw GatewayStartFailure(error.message)
+
+    private fun identifierOf(instance: InstanceName) =
+        ReplicaIdentifier(Hashing.xxh3_64().hashCharsToLong(instance.value))
+
+    private fun freshIdentifier() = ReplicaIdentifier(SecureRandom().nextLong(1, Long.MAX_VALUE))
+
+    private fun optionsOf(settings: GatewaySettings) = ReplicaOptions(
+        acceptsUnknownInstances = true,
+        targetVoters = 2 * settings.toleratedLosses + 1,
+        maximumCommandBytes = MAXIMUM_COMMAND_BYTES,
+        snapshotInterval = SNAPSHOT_ENTRIES,
+        trailingEntries = TRAILING_ENTRIES,
+    )
+
+    /** Small segments let a snapshot free the disk soon. */
+    private const val SEGMENT_BYTES = 8L shl 20
+
+    /** A batch job is one command, and its body may have 32 MiB. */
+    private const val MAXIMUM_COMMAND_BYTES = 34 shl 20
+
+    /** About ten minutes of results at 30 a second, so that the log in memory stays below some 100 MB. */
+    private const val SNAPSHOT_ENTRIES = 20_000L
+    private const val TRAILING_ENTRIES = 1_000L
+}
+
+/** The process can't start; [message] says why and is meant for the operator. */
+public class GatewayStartFailure(message: String) : Exception(message)
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -0,0 +1,104 @@
+package org.zinniahoist.gateway.core
+
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.WeightOrder
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.FencingToken
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.policy.dispatch.LoadAction
+import org.zinniahoist.policy.dispatch.LoadMode
+import org.zinniahoist.policy.dispatch.OrderAnswer
+import org.zinniahoist.policy.dispatch.WeightLoader
+import kotlin.time.Duration.Companion.milliseconds
+
+/** The right to give orders, drawn from the log by the leader. */
+internal data class OrderRight(
+    val holder: String,
+    val fence: FencingToken,
+    /** An earlier holder may still give orders before this moment. */
+    val from: Moment,
+)
+
+/** Carries out the decisions of a [WeightLoader]. All functions run on the engine's thread. */
+internal class WeightOrders(
+    private val dialect: PlatformDialect,
+    private val calls: UpstreamCalls,
+    private val loader: WeightLoader,
+    private val scope: CoroutineScope,
+    private val post: (() -> Unit) -> Unit,
+    private val clock: () -> Moment,
+    private val confirmLeadership: suspend () -> Boolean,
+) {
+    /** Set while this replica leads. */
+    var right: OrderRight? = null
+
+    fun tick(needsSingleVersion: Boolean) {
+        val held = right ?: return
+        val now = clock()
+        if (now < held.from) return
+        val mode = if (needsSingleVersion) LoadMode.WAIT else LoadMode.KEEP
+        for (action in loader.tick(now) { mode }) {
+            when (action) {
+                is LoadAction.ReadReport -> scope.launch { readReport(action.upstream) }
+                is LoadAction.Order -> scope.launch { order(held, action) }
+            }
+        }
+    }
+
+    private suspend fun readReport(upstream: ListedUpstream) {
+        val answer = calls.get(upstream.endpoint, dialect.paths.report, CALL_TIMEOUT)
+        val report = answer?.takeIf { it.status().code() == OK }?.let { dialect.report(it.content().array()) }
+        logger.debug { "event=report-read upstream=${upstream.identity} report=$report" }
+        post { loader.onReport(upstream.identity, report, clock()) }
+    }
+
+    private suspend fun order(held: OrderRight, action: LoadAction.Order) {
+        val upstream = action.upstream
+        // A replica that lost its leadership without noticing must not use its fence any more.
+        val answer = if (confirmLeadership()) send(held, action) else OrderAnswer.UNKNOWN
+        logger.info {
+            "event=order-given upstream=${upstream.identity} model=${action.model} version=${action.version} " +
+                "mode=${action.mode} fence=${held.fence} expected-orders=${action.expectedOrders} answer=$answer"
+        }
+        post { loader.onOrderAnswer(upstream.identity, answer, clock()) }
+    }
+
+    private suspend fun send(held: OrderRight, action: LoadAction.Order): OrderAnswer {
+        val order = WeightOrder(
+            model = action.model,
+            version = action.version,
+            mode = action.mode,
+            holder = held.holder,
+            fence = held.fence,
+            expectedOrders = action.expectedOrders,
+        )
+        val headers = RequestHeaders.builder(HttpMethod.POST, dialect.paths.order)
+            .set("content-type", "application/json")
+            .set(dialect.headers.expectedUpstream, action.upstream.identity.value)
+            .build()
+        val answer = calls.whole(action.upstream.endpoint, headers, dialect.order(order), CALL_TIMEOUT)
+        return when (answer?.status()?.code()) {
+            ACCEPTED -> OrderAnswer.ACCEPTED
+            OK -> OrderAnswer.HOLDS_ALREADY
+            CONFLICT -> OrderAnswer.CONFLICT
+            PRECONDITION_FAILED -> OrderAnswer.STALE_FENCE
+            null -> OrderAnswer.UNKNOWN
+            else -> OrderAnswer.CONFLICT
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+        val CALL_TIMEOUT = 800.milliseconds
+        const val OK = 200
+        const val ACCEPTED = 202
+        const val CONFLICT = 409
+        const val PRECONDITION_FAILED = 412
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -0,0 +1,241 @@
+package org.zinniahoist.gateway.entry
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.future.future
+import org.zinniahoist.gateway.dialect.ClientCall
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.link.CoreClient
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.gateway.upstream.WholeAnswer
+import org.zinniahoist.model.Moment
+import org.zinniahoist.policy.routes.Route
+import org.zinniahoist.policy.routes.RouteKind
+import org.zinniahoist.policy.routes.RouteTable
+import org.zinniahoist.policy.routes.drawService
+import org.zinniahoist.wire.ServiceCall
+import org.zinniahoist.wire.ServiceReply
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Receives all requests of clients. */
+internal class EntryHttp(
+    private val dialect: PlatformDialect,
+    private val core: CoreClient,
+    private val directory: UpstreamDirectory,
+    private val calls: UpstreamCalls,
+    private val scope: CoroutineScope,
+    private val clock: () -> Moment,
+    private val random: Random = Random.Default,
+) : HttpService {
+    private val names = dialect.headers
+    private val forwarder = Forwarder(names, calls, directory, clock)
+    private val inFlight = AtomicInteger()
+
+    /** The routes in force, or null before they are known. */
+    @Volatile
+    var routes: RouteTable? = null
+
+    /** Set when the process stops: connections close after the request that they carry. */
+    @Volatile
+    var isStopping: Boolean = false
+
+    /** Requests without a complete answer. */
+    val requestsInFlight: Int get() = inFlight.get()
+
+    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        if (isStopping) context.initiateConnectionShutdown()
+        inFlight.incrementAndGet()
+        val answer = scope.future { guarded(request) }
+        val response = HttpResponse.of(answer)
+        response.whenComplete().handle { _, failure ->
+            inFlight.decrementAndGet()
+            if (failure != null) answer.cancel(true)
+        }
+        return response
+    }
+
+    private suspend fun guarded(request: HttpRequest): HttpResponse = try {
+        answer(request)
+    } catch (cancelled: kotlinx.coroutines.CancellationException) {
+        throw cancelled
+    } catch (_: com.linecorp.armeria.common.ContentTooLargeException) {
+        HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+    } catch (failure: Exception) {
+        logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
+        HttpResponse.of(HttpStatus.BAD_GATEWAY)
+    }
+
+    private suspend fun answer(request: HttpRequest): HttpResponse {
+        val arrival = clock()
+        val path = request.path().substringBefore('?')
+        val query = request.path().substringAfter('?', "").ifEmpty { null }
+        dialect.clientCall(request.method().name, path, query)?.let { return answerCall(request, it) }
+        val body = request.aggregate().await().content().array()
+        val known = routes ?: return refusal(request, "no configuration yet")
+        val host = request.headers().authority().orEmpty().substringBefore(':')
+        val route = known.find(host, path)
+        if (route == null) {
+            logger.info { "event=no-route host=$host path=$path revision=${known.revision}" }
+            return HttpResponse.of(HttpStatus.NOT_FOUND)
+        }
+        if (body.size > (known.limits?.bodyBytes ?: Long.MAX_VALUE)) {
+            return HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+        }
+        return when (route.kind) {
+            RouteKind.BATCH -> submit(request, host, path, body)
+            RouteKind.EVENT_STREAM -> stream(request, body, route, arrival)
+            RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE -> forward(request, body, route, arrival, known)
+        }
+    }
+
+    private suspend fun forward(
+        request: HttpRequest,
+        body: ByteArray,
+        route: Route,
+        arrival: Moment,
+        known: RouteTable,
+    ): HttpResponse {
+        val identifier = request.headers().get(names.requestIdentifier)
+        val budget = Forwarder.budget(request.headers().get(names.remainingMilliseconds), route.timeout)
+        val forwarded =
+            forwarder.forward(ForwardedRequest(request.headers(), body, identifier, route, arrival + budget))
+        logger.info {
+            "event=request request=$identifier route=${route.name} revision=${known.revision} " +
+                "outcome=${describe(forwarded)} milliseconds=${(clock() - arrival).inWholeMilliseconds}"
+        }
+        return when (forwarded) {
+            is Forwarded.Answer -> passOn(forwarded.answer)
+            is Forwarded.NotRun -> refusal(request, forwarded.reason)
+            is Forwarded.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+        }
+    }
+
+    private fun describe(forwarded: Forwarded): String = when (forwarded) {
+        is Forwarded.Answer -> forwarded.answer.status.toString()
+        is Forwarded.NotRun -> "not-run reason=\"${forwarded.reason}\""
+        is Forwarded.NoAnswer -> "no-answer reason=\"${forwarded.reason}\""
+    }
+
+    private fun passOn(answer: WholeAnswer): HttpResponse {
+        val builder = ResponseHeaders.builder(answer.headers.status())
+        for ((name, value) in answer.headers) {
+            if (!name.startsWith(":") && !Forwarder.isHopHeader(name.toString())) builder.add(name, value)
+        }
+        return HttpResponse.of(builder.build(), HttpData.wrap(answer.body))
+    }
+
+    /** Passes a stream on as it arrives. The request is sent to another upstream only if the first did not run it. */
+    private suspend fun stream(
+        request: HttpRequest,
+        body: ByteArray,
+        route: Route,
+        arrival: Moment,
+    ): HttpResponse {
+        val identifier = request.headers().get(names.requestIdentifier)
+        val service = route.drawService(random)
+        val used = HashSet<org.zinniahoist.model.UpstreamIdentity>()
+        repeat(route.maximumAttempts) {
+            val upstream = directory.choose(service, used) ?: return refusal(request, "no upstream of $service")
+            used += upstream.identity
+            val budget = Forwarder.budget(request.headers().get(names.remainingMilliseconds), route.timeout)
+            val headers = Forwarder.forwardedHeaders(request.headers())
+                .set(names.expectedUpstream, upstream.identity.value)
+                .set(names.remainingMilliseconds, (arrival + budget - clock()).inWholeMilliseconds.toString())
+                .build()
+            val response = calls.open(upstream.endpoint, headers, body)
+            val split = response.split()
+            val head = split.headers().await()
+            val isForeign = head.get(names.requestIdentifier) != identifier
+            directory.onEnded(upstream.identity, clock() - arrival, !isForeign)
+            logger.info { "event=stream request=$identifier upstream=${upstream.identity} status=${head.status().code()}" }
+            if (isForeign || head.contains(names.notRun)) {
+                response.abort()
+                if (isForeign) return HttpResponse.of(HttpStatus.BAD_GATEWAY)
+            } else {
+                return HttpResponse.of(head, split.body())
+            }
+        }
+        return refusal(request, "refused by ${used.size} upstreams")
+    }
+
+    private suspend fun submit(
+        request: HttpRequest,
+        host: String,
+        path: String,
+        body: ByteArray,
+    ): HttpResponse {
+        val job = request.headers().get(names.requestIdentifier) ?: return HttpResponse.of(HttpStatus.BAD_REQUEST)
+        if (request.method() != HttpMethod.POST) return HttpResponse.of(HttpStatus.METHOD_NOT_ALLOWED)
+        val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body), SUBMIT_TIMEOUT)
+        logger.info { "event=job-submission job=$job bytes=${body.size} reply=${reply::class.simpleName}" }
+        return respond(request, reply, success = HttpStatus.ACCEPTED)
+    }
+
+    private suspend fun answerCall(request: HttpRequest, call: ClientCall): HttpResponse {
+        request.aggregate().await()
+        val wait = request.headers().get(names.waitMilliseconds)?.trim()?.toLongOrNull() ?: 0
+        val serviceCall = when (call) {
+            is ClientCall.ReadJob -> ServiceCall.ReadJob(call.job, call.after, wait.coerceIn(0, LONGEST_WAIT_MILLISECONDS))
+            is ClientCall.ReadItem -> ServiceCall.ReadItem(call.job, call.item)
+            is ClientCall.EndJob -> ServiceCall.EndJob(call.job)
+            is ClientCall.Malformed -> return HttpResponse.of(HttpStatus.BAD_REQUEST)
+        }
+        val reply = core.callLeader(serviceCall, CALL_TIMEOUT + waitOf(serviceCall))
+        logger.info { "event=job-call call=$call reply=${reply::class.simpleName}" }
+        return respond(request, reply, success = HttpStatus.OK)
+    }
+
+    private fun waitOf(call: ServiceCall): Duration =
+        if (call is ServiceCall.ReadJob) call.waitMilliseconds.milliseconds else Duration.ZERO
+
+    private fun respond(request: HttpRequest, reply: ServiceReply, success: HttpStatus): HttpResponse = when (reply) {
+        is ServiceReply.Done -> HttpResponse.of(success, MediaType.JSON, "{}")
+
+        is ServiceReply.Content ->
+            HttpResponse.of(ResponseHeaders.of(success, "content-type", "application/json"), HttpData.wrap(reply.content))
+
+        is ServiceReply.NotFound -> HttpResponse.of(HttpStatus.NOT_FOUND)
+
+        is ServiceReply.Invalid -> HttpResponse.of(HttpStatus.BAD_REQUEST)
+
+        is ServiceReply.Unavailable -> refusal(request, reply.detail)
+
+        else -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+    }
+
+    /** The request has not run and will not run; the clients' returns are spread. */
+    private fun refusal(request: HttpRequest, reason: String): HttpResponse {
+        val identifier = request.headers().get(names.requestIdentifier)
+        val seconds = random.nextDouble(SHORTEST_RETURN_SECONDS, LONGEST_RETURN_SECONDS)
+        logger.info { "event=refused request=$identifier reason=\"$reason\" retry-after=$seconds" }
+        val headers = ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
+            .set("retry-after", "%.2f".format(java.util.Locale.ROOT, seconds))
+            .build()
+        return HttpResponse.of(headers)
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        /** An election takes about a second; a client that is refused loses more than one that waits for it. */
+        val SUBMIT_TIMEOUT = 2.seconds
+        val CALL_TIMEOUT = 1_400.milliseconds
+        const val LONGEST_WAIT_MILLISECONDS = 1_000L
+        const val SHORTEST_RETURN_SECONDS = 0.1
+        const val LONGEST_RETURN_SECONDS = 0.4
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -0,0 +1,137 @@
+package org.zinniahoist.gateway.entry
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.server.Server
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import org.zinniahoist.gateway.GatewayProcess
+import org.zinniahoist.gateway.core.ReplicaGroup
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.link.CoreClient
+import org.zinniahoist.gateway.link.CoreObserver
+import org.zinniahoist.gateway.upstream.ListReader
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
+import org.zinniahoist.policy.routes.LatencyChooser
+import org.zinniahoist.policy.routes.RouteTable
+import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import java.net.InetSocketAddress
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** The role `entry`: serves clients. */
+internal class EntryProcess(
+    private val settings: GatewaySettings,
+    private val dialect: PlatformDialect,
+    private val clock: () -> Moment,
+) : GatewayProcess,
+    CoreObserver {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val calls = UpstreamCalls()
+    private val directory = UpstreamDirectory(
+        LatencyChooser(),
+        ListReader(dialect, calls, settings.listEndpoint),
+        clock,
+    )
+    private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
+    private val http = EntryHttp(dialect, core, directory, calls, scope, clock)
+    private lateinit var clientServer: Server
+    private lateinit var readinessServer: Server
+
+    override fun start() {
+        clientServer = serverOn(checkNotNull(settings.clients)) { it.serviceUnder("/", http) }
+        readinessServer = serverOn(checkNotNull(settings.readiness)) { builder ->
+            builder.serviceUnder("/") { _, _ ->
+                HttpResponse.of(if (isReady()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
+            }
+        }
+        core.start()
+        scope.launch { directory.keepFresh() }
+        logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
+    }
+
+    private fun isReady(): Boolean =
+        !http.isStopping && core.isInformed && http.routes != null && directory.isKnown
+
+    private fun serverOn(endpoint: Endpoint, configure: (com.linecorp.armeria.server.ServerBuilder) -> Unit): Server {
+        val builder = Server.builder()
+            .http(InetSocketAddress(endpoint.host, endpoint.port))
+            .requestTimeoutMillis(0)
+            .maxRequestLength(MAXIMUM_BODY_BYTES)
+            .idleTimeoutMillis(IDLE_TIMEOUT.inWholeMilliseconds)
+        configure(builder)
+        return builder.build().also { it.start().join() }
+    }
+
+    override fun onConfiguration(revision: Revision, document: ByteArray) {
+        dialect.configuration(document).fold(
+            { logger.error { "event=configuration-invalid revision=$revision fault=\"$it\"" } },
+            { configuration ->
+                http.routes = RouteTable(configuration)
+                logger.info { "event=configuration-in-force revision=$revision routes=${configuration.routes.size}" }
+            },
+        )
+    }
+
+    override fun onUpstreams(entries: List<ListedUpstream>?): Unit = directory.refresh(entries)
+
+    override fun stop() {
+        logger.info { "event=stopping role=entry machine=${settings.machine} in-flight=${http.requestsInFlight}" }
+        http.isStopping = true
+        val start = clock()
+        runBlocking {
+            while (clock() - start < settings.grace - RESERVE) {
+                val isQuiet = http.requestsInFlight == 0
+                if (isQuiet && clock() - start >= OUT_OF_ROTATION) break
+                delay(QUIET_CHECK)
+            }
+        }
+        clientServer.stop().join()
+        readinessServer.stop().join()
+        core.close()
+        scope.cancel()
+        logger.info { "event=stopped role=entry machine=${settings.machine} in-flight=${http.requestsInFlight}" }
+    }
+
+    private fun hello() = LinkMessage.Hello(
+        protocolVersion = LinkLimits.PROTOCOL_VERSION,
+        instance = InstanceName(settings.machine),
+        incarnation = Incarnation(System.currentTimeMillis()),
+        failureDomain = FailureDomain(settings.failureDomain, Region(settings.region)),
+        roles = setOf(Role.ENTRY),
+    )
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        /** Longer than any idle time that a configuration promises to clients. */
+        val IDLE_TIMEOUT = 60.seconds
+
+        /** The platform asks each second, and sends no new connection after two misses. */
+        val OUT_OF_ROTATION = 3.seconds
+        val QUIET_CHECK = 20.milliseconds
+
+        /** Left for the end of the process itself. */
+        val RESERVE = 900.milliseconds
+
+        /** The largest body that operators announce, and a little more. */
+        const val MAXIMUM_BODY_BYTES = 34L shl 20
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
@@ -0,0 +1,67 @@
+package org.zinniahoist.gateway.entry
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import org.zinniahoist.gateway.upstream.ListReader
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.routes.ReplicaChooser
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/**
+ * The upstreams as an entry knows them. The leader of the service group sends the platform's list; while it doesn't,
+ * the entry reads the list itself, so that an upstream that leaves gets no work during an election either.
+ */
+internal class UpstreamDirectory(
+    private val chooser: ReplicaChooser,
+    private val reader: ListReader,
+    private val clock: () -> Moment,
+) {
+    @Volatile
+    private var refreshedAt: Moment? = null
+
+    /** True once the list was known. */
+    val isKnown: Boolean get() = refreshedAt != null
+
+    @Synchronized
+    fun refresh(entries: List<ListedUpstream>?) {
+        refreshedAt = clock()
+        if (entries == null) return
+        chooser.relist(entries)
+        logger.info {
+            "event=upstreams-known count=${entries.size} " +
+                "leaving=${entries.filter { it.isLeaving }.joinToString(",") { it.identity.value }}"
+        }
+    }
+
+    @Synchronized
+    fun choose(service: ServiceName, excluded: Set<UpstreamIdentity>): ListedUpstream? {
+        val chosen = chooser.choose(service, excluded, clock())
+        chosen?.let { chooser.onSent(it.identity) }
+        return chosen
+    }
+
+    @Synchronized
+    fun onEnded(upstream: UpstreamIdentity, latency: Duration, isSound: Boolean) =
+        chooser.onEnded(upstream, latency, isSound, clock())
+
+    /** Reads the list whenever nobody sent it for a while. */
+    suspend fun keepFresh() {
+        while (true) {
+            val age = refreshedAt?.let { clock() - it }
+            if (age == null || age >= STALE_AFTER) reader.read()?.let(::refresh)
+            delay(CHECK_INTERVAL)
+        }
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+
+        /** The leader sends the list every second. */
+        val STALE_AFTER = 1_600.milliseconds
+        val CHECK_INTERVAL = 500.milliseconds
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -0,0 +1,99 @@
+package org.zinniahoist.gateway.link
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.wire.HeartbeatContent
+import org.zinniahoist.wire.LinkClient
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkHandler
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.Message
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Keeps links open to the replicas that are wanted. The name of a replica is the address of its links. */
+public class PeerLinks(
+    private val hello: LinkMessage.Hello,
+    private val handler: LinkHandler,
+    private val clock: () -> Moment,
+    private val random: Random = Random.Default,
+) : AutoCloseable {
+    private val clients = ConcurrentHashMap<InstanceName, LinkClient>()
+    private val open = ConcurrentHashMap<InstanceName, LinkConnection>()
+
+    /** Replicas with an open link. */
+    public val connected: Set<InstanceName> get() = open.keys
+
+    /** Opens links to [wanted] and closes all others. */
+    @Synchronized
+    public fun keep(wanted: Set<InstanceName>) {
+        for (instance in wanted - clients.keys) dial(instance)
+        for (instance in clients.keys - wanted) {
+            clients.remove(instance)?.close()
+            open.remove(instance)
+        }
+    }
+
+    /** Returns the open link to [instance], or null. */
+    public fun link(instance: InstanceName): LinkConnection? = open[instance]
+
+    /** Queues [message] to [instance]; it is dropped without an open link or when the queue is full. */
+    public fun offer(instance: InstanceName, message: Message): Boolean = open[instance]?.offer(message) ?: false
+
+    private fun dial(instance: InstanceName) {
+        val endpoint = Endpoint.parse(instance.value)
+        if (endpoint == null) {
+            logger.warn { "event=peer-address-invalid peer=$instance" }
+            return
+        }
+        val client = LinkClient(endpoint, hello, Receiver(instance), ::HeartbeatContent, clock, random, LIMITS)
+        clients[instance] = client
+        client.start()
+    }
+
+    @Synchronized
+    override fun close() {
+        clients.values.forEach { it.close() }
+        clients.clear()
+        open.clear()
+    }
+
+    private inner class Receiver(private val instance: InstanceName) : LinkHandler {
+        override fun onOpen(link: LinkConnection) {
+            open[instance] = link
+            logger.info { "event=peer-connected peer=$instance" }
+            handler.onOpen(link)
+        }
+
+        override suspend fun onMessage(link: LinkConnection, message: Message): Unit = handler.onMessage(link, message)
+
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
+            open.remove(instance, link)
+            logger.info { "event=peer-lost peer=$instance cause=\"$cause\"" }
+            handler.onClosed(link, cause)
+        }
+    }
+
+    public companion object {
+        private val logger = KotlinLogging.logger {}
+
+        /**
+         * A silent link is noticed well within the three seconds after which a machine counts as reachable again, and a
+         * job of the largest accepted body fits into one frame.
+         */
+        public val LIMITS: LinkLimits = LinkLimits(
+            heartbeatInterval = 400.milliseconds,
+            silenceLimit = 1_500.milliseconds,
+            openTimeout = 1.seconds,
+            sendQueueFrames = 1_024,
+            maximumFrameBytes = 40 shl 20,
+            maximumBackoff = 500.milliseconds,
+        )
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/WholeAnswer.kt
@@ -0,0 +1,48 @@
+package org.zinniahoist.gateway.upstream
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.ResponseHeaders
+import kotlinx.coroutines.future.await
+import java.io.IOException
+
+/** An answer that was received to its end. */
+internal class WholeAnswer(
+    val headers: ResponseHeaders,
+    val body: ByteArray,
+) {
+    val status: Int get() = headers.status().code()
+}
+
+/** The answer on the connection belongs to another request. */
+internal class ForeignAnswerException(detail: String) : IOException(detail)
+
+/**
+ * Reads [response] to its end. The connection is closed if the coroutine is cancelled, and if the answer doesn't echo
+ * [identifier] in the header [identifierName]: what follows on such a connection belongs to other requests as well.
+ */
+internal suspend fun readWhole(response: HttpResponse, identifierName: String, identifier: String?): WholeAnswer {
+    var isWhole = false
+    try {
+        val split = response.split()
+        val headers = split.headers().await()
+        val echoed = headers.get(identifierName)
+        if (echoed != identifier) throw ForeignAnswerException("echo $echoed instead of $identifier")
+        val parts = split.body().collect().await()
+        isWhole = true
+        return WholeAnswer(headers, join(parts))
+    } finally {
+        if (!isWhole) response.abort()
+    }
+}
+
+private fun join(parts: List<HttpData>): ByteArray {
+    if (parts.size == 1) return parts.single().array()
+    val bytes = ByteArray(parts.sumOf { it.length() })
+    var offset = 0
+    for (part in parts) {
+        part.array().copyInto(bytes, offset)
+        offset += part.length()
+    }
+    return bytes
+}
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -0,0 +1,133 @@
+package org.zinniahoist.policy.dispatch
+
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** What is known of one upstream from its answers. */
+public class UpstreamCard internal constructor(listed: ListedUpstream) {
+    /** The latest entry of the platform's list. */
+    public var listed: ListedUpstream = listed
+        internal set
+
+    /** Runs that this process has on the upstream. */
+    public var inFlight: Int = 0
+        internal set
+
+    /** True while an order to the upstream is in progress, during which it starts nothing. */
+    public var isLoading: Boolean = false
+
+    internal var eventMilliseconds: Double = UNKNOWN_PACE
+    internal var failures = 0
+    internal var suspendedUntil: Moment? = null
+    private val versions = HashMap(listed.versions)
+
+    /** Returns the weights of [model] that the upstream is believed to have, or null. */
+    public fun version(model: ModelName): WeightVersion? = versions[model]
+
+    /** Notes [version] as the upstream itself stated it. */
+    public fun observeVersion(model: ModelName, version: WeightVersion) {
+        versions[model] = version
+    }
+
+    /** The list lags, so it is believed only where it shows newer weights. */
+    internal fun relist(entry: ListedUpstream) {
+        listed = entry
+        for ((model, version) in entry.versions) {
+            val present = versions[model]
+            if (present == null || version > present) versions[model] = version
+        }
+    }
+
+    internal companion object {
+        const val UNKNOWN_PACE = -1.0
+    }
+}
+
+/** The upstreams that may get work, with their pace and their recent failures. */
+public class UpstreamBoard(
+    private val firstSuspension: Duration = FIRST_SUSPENSION,
+    private val longestSuspension: Duration = LONGEST_SUSPENSION,
+) {
+    private val cards = LinkedHashMap<UpstreamIdentity, UpstreamCard>()
+
+    /** All upstreams of the latest list. */
+    public val all: Collection<UpstreamCard> get() = cards.values
+
+    /** Returns the upstream with [identity], or null if the list no longer shows it. */
+    public fun card(identity: UpstreamIdentity): UpstreamCard? = cards[identity]
+
+    /** Takes over the platform's list. */
+    public fun relist(entries: List<ListedUpstream>) {
+        val present = entries.mapTo(HashSet()) { it.identity }
+        cards.keys.retainAll(present)
+        for (entry in entries) {
+            val card = cards[entry.identity]
+            if (card == null) cards[entry.identity] = UpstreamCard(entry) else card.relist(entry)
+        }
+    }
+
+    /** Returns the upstreams of [service] that may get new work at [now]. */
+    public fun usable(service: ServiceName, now: Moment): List<UpstreamCard> = cards.values.filter {
+        it.listed.service == service && !it.listed.isLeaving && !isSuspended(it, now)
+    }
+
+    /** Returns true while [card] is avoided because of its failures. */
+    public fun isSuspended(card: UpstreamCard, now: Moment): Boolean = card.suspendedUntil?.let { now < it } == true
+
+    /** Notes a failed run; the upstream is avoided for a time that doubles with each failure in a row. */
+    public fun onFailure(identity: UpstreamIdentity, now: Moment) {
+        val card = cards[identity] ?: return
+        val doublings = card.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
+        card.failures++
+        card.suspendedUntil = now + minOf(firstSuspension * (1 shl doublings), longestSuspension)
+    }
+
+    /** Notes a sign of life. */
+    public fun onSuccess(identity: UpstreamIdentity) {
+        val card = cards[identity] ?: return
+        card.failures = 0
+        card.suspendedUntil = null
+    }
+
+    /** Notes the time between two events of one stream. */
+    public fun onPace(identity: UpstreamIdentity, interval: Duration) {
+        val card = cards[identity] ?: return
+        val measured = interval.inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND
+        val known = card.eventMilliseconds
+        card.eventMilliseconds =
+            if (known == UpstreamCard.UNKNOWN_PACE) measured else known + PACE_GAIN * (measured - known)
+    }
+
+    /** Returns the time that one event takes on [card] in milliseconds; the median of the others if unknown. */
+    public fun paceOf(card: UpstreamCard): Double =
+        if (card.eventMilliseconds != UpstreamCard.UNKNOWN_PACE) card.eventMilliseconds else medianPace()
+
+    /** Returns the median time of one event over all upstreams in milliseconds. */
+    public fun medianPace(): Double {
+        val known = cards.values.map { it.eventMilliseconds }.filter { it != UpstreamCard.UNKNOWN_PACE }.sorted()
+        return if (known.isEmpty()) DEFAULT_PACE_MILLISECONDS else known[known.size / 2]
+    }
+
+    private companion object {
+        /** A single broken run is mostly the request's own misfortune. */
+        val FIRST_SUSPENSION = 200.milliseconds
+
+        /** An upstream that is back is found within this time. */
+        val LONGEST_SUSPENSION = 3.seconds
+        const val MAXIMUM_DOUBLINGS = 5
+        const val MICROSECONDS_PER_MILLISECOND = 1_000.0
+
+        /** Follows an upstream that slows down within about ten events. */
+        const val PACE_GAIN = 0.1
+
+        /** Assumed before the first measurement. */
+        const val DEFAULT_PACE_MILLISECONDS = 50.0
+    }
+}
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -0,0 +1,202 @@
+package org.zinniahoist.policy.dispatch
+
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What an upstream says of itself. */
+public data class UpstreamReport(
+    public val versions: Map<ModelName, WeightVersion>,
+    /** True while an order is in progress. */
+    public val isBusy: Boolean,
+    /** Orders that the upstream has accepted since its start. */
+    public val acceptedOrders: Long,
+)
+
+/** What happens to requests that run while new weights are loaded. */
+public enum class LoadMode {
+    /** Runs finish first. */
+    WAIT,
+
+    /** Runs go on under the new weights. */
+    KEEP,
+}
+
+/** How an upstream answered an order. */
+public enum class OrderAnswer { ACCEPTED, HOLDS_ALREADY, CONFLICT, STALE_FENCE, UNKNOWN }
+
+/** What the shell has to do for a [WeightLoader]. */
+public sealed interface LoadAction {
+    /** Read the report of [upstream]. */
+    public data class ReadReport(public val upstream: ListedUpstream) : LoadAction
+
+    /** Order [upstream] to load [version]; it must have accepted [expectedOrders] orders before. */
+    public data class Order(
+        public val upstream: ListedUpstream,
+        public val model: ModelName,
+        public val version: WeightVersion,
+        public val mode: LoadMode,
+        public val expectedOrders: Long,
+    ) : LoadAction
+}
+
+/**
+ * Brings all upstreams of a model to its newest named weights, a few at a time and the idlest first.
+ *
+ * Each order names the number of orders accepted before, so that one that is carried out late has no effect.
+ */
+public class WeightLoader(
+    private val board: UpstreamBoard,
+    private val loadTime: Duration = LOAD_TIME,
+) {
+    private val targets = LinkedHashMap<ModelName, WeightVersion>()
+    private val loads = LinkedHashMap<UpstreamIdentity, Load>()
+
+    /** Names the newest weights of [model]. */
+    public fun onNamed(model: ModelName, version: WeightVersion) {
+        val present = targets[model]
+        if (present == null || version > present) targets[model] = version
+    }
+
+    /** Forgets all loads, because this process no longer decides. */
+    public fun clear() {
+        loads.clear()
+        board.all.forEach { it.isLoading = false }
+    }
+
+    /** Returns what to do at [now]. [modeOf] says how the runs of a model are treated. */
+    public fun tick(now: Moment, modeOf: (ModelName) -> LoadMode): List<LoadAction> {
+        loads.keys.filter { board.card(it) == null }.forEach { loads.remove(it) }
+        val actions = loads.values.mapNotNull { advance(it, now, modeOf) }.toMutableList<LoadAction>()
+        for ((model, version) in targets) actions += begin(model, version, now)
+        return actions
+    }
+
+    private fun begin(model: ModelName, version: WeightVersion, now: Moment): List<LoadAction> {
+        val holders = board.all.filter { it.version(model) != null && !it.listed.isLeaving }
+        val room = (holders.size * SHARE_AT_ONCE).toInt().coerceAtLeast(LEAST_AT_ONCE) - loads.size
+        val behind = holders
+            .filter { it.listed.identity !in loads && (it.version(model) ?: version) < version }
+            .filter { !board.isSuspended(it, now) }
+            .sortedBy { it.inFlight }
+        return behind.take(room.coerceAtLeast(0)).map { card ->
+            loads[card.listed.identity] = Load(card, model, version, askedAt = now)
+            LoadAction.ReadReport(card.listed)
+        }
+    }
+
+    private fun advance(load: Load, now: Moment, modeOf: (ModelName) -> LoadMode): LoadAction? {
+        val report = load.report
+        val orderedAt = load.orderedAt
+        return when {
+            report != null && orderedAt == null && !report.isBusy -> order(load, report, now, modeOf)
+
+            now < load.nextQuestion(loadTime) -> null
+
+            else -> {
+                load.askedAt = now
+                LoadAction.ReadReport(load.card.listed)
+            }
+        }
+    }
+
+    private fun order(
+        load: Load,
+        report: UpstreamReport,
+        now: Moment,
+        modeOf: (ModelName) -> LoadMode,
+    ): LoadAction {
+        load.orderedAt = now
+        load.askedAt = now
+        load.card.isLoading = true
+        val mode = modeOf(load.model)
+        return LoadAction.Order(load.card.listed, load.model, load.version, mode, report.acceptedOrders)
+    }
+
+    /** The report of an upstream arrived, or null if it can't be had. */
+    public fun onReport(upstream: UpstreamIdentity, report: UpstreamReport?, now: Moment) {
+        val load = loads[upstream] ?: return
+        if (report == null) {
+            load.misses++
+            if (load.misses >= MISSES_BEFORE_GIVING_UP) abandon(load, now)
+            return
+        }
+        load.misses = 0
+        report.versions.forEach { (model, version) -> load.card.observeVersion(model, version) }
+        val reached = (report.versions[load.model] ?: load.version) >= load.version
+        when {
+            reached && !report.isBusy -> finish(load)
+            load.orderedAt == null -> load.report = report
+            !report.isBusy && isLost(load, report, now) -> load.restart(report)
+        }
+    }
+
+    /** An order that was accepted shows in the number of orders; the report lags a little. */
+    private fun isLost(load: Load, report: UpstreamReport, now: Moment): Boolean {
+        val orderedAt = load.orderedAt ?: return false
+        val before = load.report?.acceptedOrders ?: return true
+        return report.acceptedOrders != before || now - orderedAt >= REPORT_LAG
+    }
+
+    /** The upstream answered an order. */
+    public fun onOrderAnswer(upstream: UpstreamIdentity, answer: OrderAnswer, now: Moment) {
+        val load = loads[upstream] ?: return
+        when (answer) {
+            OrderAnswer.ACCEPTED -> load.orderedAt = now
+            OrderAnswer.HOLDS_ALREADY -> finish(load.also { it.card.observeVersion(it.model, it.version) })
+            OrderAnswer.CONFLICT, OrderAnswer.STALE_FENCE -> abandon(load, now)
+            OrderAnswer.UNKNOWN -> Unit
+        }
+    }
+
+    private fun finish(load: Load) {
+        loads.remove(load.card.listed.identity)
+        load.card.isLoading = false
+    }
+
+    private fun abandon(load: Load, now: Moment) {
+        finish(load)
+        board.onFailure(load.card.listed.identity, now)
+    }
+
+    private class Load(
+        val card: UpstreamCard,
+        val model: ModelName,
+        val version: WeightVersion,
+        var askedAt: Moment,
+    ) {
+        var report: UpstreamReport? = null
+        var orderedAt: Moment? = null
+        var misses = 0
+
+        fun nextQuestion(loadTime: Duration): Moment {
+            val ordered = orderedAt ?: return askedAt + QUESTION_INTERVAL
+            return maxOf(ordered + loadTime, askedAt + QUESTION_INTERVAL)
+        }
+
+        fun restart(newReport: UpstreamReport) {
+            report = newReport
+            orderedAt = null
+        }
+    }
+
+    private companion object {
+        /** Loading rarely takes less, so an earlier question would only cost. */
+        val LOAD_TIME = 900.milliseconds
+
+        /** Time between two questions to an upstream that should have finished. */
+        val QUESTION_INTERVAL = 250.milliseconds
+
+        /** An order that a report doesn't show after this time was not accepted. */
+        val REPORT_LAG = 1_500.milliseconds
+        const val MISSES_BEFORE_GIVING_UP = 3
+
+        /** Share of the upstreams that the weight store serves without slowing down. */
+        const val SHARE_AT_ONCE = 0.3
+        const val LEAST_AT_ONCE = 2
+    }
+}
