--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
@@ -49,9 +49,8 @@
         return goneLearner?.let { configuration.without(it.address.identifier).withLearner(from) }
     }
 
-    private fun isAdmissible(instance: InstanceName): Boolean =
-        instance !in context.excluded &&
-            (context.options.acceptsUnknownInstances || instance in context.options.memberInstances)
+    private fun isAdmissible(instance: InstanceName): Boolean = instance !in context.excluded &&
+        (context.options.acceptsUnknownInstances || instance in context.options.memberInstances)
 
     /** Returns the next configuration on the way of a learner to a vote, or null if there is none. */
     fun onTick(): Configuration? {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -44,8 +44,8 @@
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.state.service.StoredConfiguration
 import org.zinniahoist.wire.HeartbeatContent
-import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
 import org.zinniahoist.wire.ServiceMessage
 import java.util.concurrent.Executors
@@ -61,7 +61,9 @@
 ) : GatewayProcess,
     ServiceListener {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val engineThread = Executors.newSingleThreadScheduledExecutor { Thread(it, "engine").apply { isDaemon = true } }
+    private val engineThread = Executors.newSingleThreadScheduledExecutor {
+        Thread(it, "engine").apply { isDaemon = true }
+    }
     private val machine = ServiceStateMachine(this)
     private val jobs = JobCalls(dialect, machine) { host }
     private val hello = LinkMessage.Hello(
@@ -197,7 +199,9 @@
     private suspend fun activate(term: Long) {
         val command = StateCodec.encode<ServiceCommand>(ServiceCommand.DrawFence(settings.machine))
         val answer = host.propose(command).await()
-        val fence = (answer as? Either.Right)?.let { StateCodec.decode<ServiceAnswer>(it.value) as? ServiceAnswer.Fence }
+        val fence = (answer as? Either.Right)?.let {
+            StateCodec.decode<ServiceAnswer>(it.value) as? ServiceAnswer.Fence
+        }
         post {
             if (activeTerm != term) return@post
             if (fence == null) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
@@ -72,7 +72,10 @@
 
     private suspend fun configure(document: ByteArray): Outcome = dialect.configuration(document).fold(
         { Outcome(HttpStatus.BAD_REQUEST, it.toString()) },
-        { configuration -> faultOf(configuration)?.let { Outcome(HttpStatus.BAD_REQUEST, it.toString()) } ?: accept(configuration, document) },
+        { configuration ->
+            faultOf(configuration)?.let { Outcome(HttpStatus.BAD_REQUEST, it.toString()) }
+                ?: accept(configuration, document)
+        },
     )
 
     private suspend fun accept(configuration: ServiceConfiguration, document: ByteArray): Outcome {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -161,7 +161,9 @@
             val head = split.headers().await()
             val isForeign = head.get(names.requestIdentifier) != identifier
             directory.onEnded(upstream.identity, clock() - arrival, !isForeign)
-            logger.info { "event=stream request=$identifier upstream=${upstream.identity} status=${head.status().code()}" }
+            logger.info {
+                "event=stream request=$identifier upstream=${upstream.identity} status=${head.status().code()}"
+            }
             if (isForeign || head.contains(names.notRun)) {
                 response.abort()
                 if (isForeign) return HttpResponse.of(HttpStatus.BAD_GATEWAY)
@@ -189,7 +191,11 @@
         request.aggregate().await()
         val wait = request.headers().get(names.waitMilliseconds)?.trim()?.toLongOrNull() ?: 0
         val serviceCall = when (call) {
-            is ClientCall.ReadJob -> ServiceCall.ReadJob(call.job, call.after, wait.coerceIn(0, LONGEST_WAIT_MILLISECONDS))
+            is ClientCall.ReadJob -> ServiceCall.ReadJob(
+                call.job,
+                call.after,
+                wait.coerceIn(0, LONGEST_WAIT_MILLISECONDS),
+            )
             is ClientCall.ReadItem -> ServiceCall.ReadItem(call.job, call.item)
             is ClientCall.EndJob -> ServiceCall.EndJob(call.job)
             is ClientCall.Malformed -> return HttpResponse.of(HttpStatus.BAD_REQUEST)
@@ -206,7 +212,10 @@
         is ServiceReply.Done -> HttpResponse.of(success, MediaType.JSON, "{}")
 
         is ServiceReply.Content ->
-            HttpResponse.of(ResponseHeaders.of(success, "content-type", "application/json"), HttpData.wrap(reply.content))
+            HttpResponse.of(
+                ResponseHeaders.of(success, "content-type", "application/json"),
+                HttpData.wrap(reply.content),
+            )
 
         is ServiceReply.NotFound -> HttpResponse.of(HttpStatus.NOT_FOUND)
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -67,8 +67,7 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
-    private fun isReady(): Boolean =
-        !http.isStopping && core.isInformed && http.routes != null && directory.isKnown
+    private fun isReady(): Boolean = !http.isStopping && core.isInformed && http.routes != null && directory.isKnown
 
     private fun serverOn(endpoint: Endpoint, configure: (com.linecorp.armeria.server.ServerBuilder) -> Unit): Server {
         val builder = Server.builder()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -36,7 +36,8 @@
     private val observer: CoreObserver,
     private val scope: CoroutineScope,
     private val clock: () -> Moment,
-) : LinkHandler, AutoCloseable {
+) : LinkHandler,
+    AutoCloseable {
     private val calls = ServiceCalls()
     private val links = PeerLinks(hello, this, clock)
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -53,7 +53,9 @@
         when {
             headers.contains(names.notRun) || status == MISDIRECTED -> end(RunEnd.NotRun)
             status == OK && echoed != identifier -> end(RunEnd.Broken("answer of another request"))
-            status == OK -> observer.onBegin(headers.get(names.weightVersion)?.trim()?.toLongOrNull()?.let(::WeightVersion))
+            status == OK -> observer.onBegin(
+                headers.get(names.weightVersion)?.trim()?.toLongOrNull()?.let(::WeightVersion),
+            )
             status == UNPROCESSABLE -> end(RunEnd.Impossible)
             status == FAILED -> end(RunEnd.Failed)
             else -> end(RunEnd.Broken("status $status"))
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
@@ -26,11 +26,12 @@
         return null
     }
 
-    private suspend fun page(token: String?) = calls.get(endpoint, dialect.paths.list(token), PAGE_TIMEOUT).let { answer ->
-        val page = answer?.takeIf { it.status().code() == OK }?.let { dialect.listPage(it.content().array()) }
-        if (page == null) logger.info { "event=list-not-read status=${answer?.status()?.code()}" }
-        page
-    }
+    private suspend fun page(token: String?) =
+        calls.get(endpoint, dialect.paths.list(token), PAGE_TIMEOUT).let { answer ->
+            val page = answer?.takeIf { it.status().code() == OK }?.let { dialect.listPage(it.content().array()) }
+            if (page == null) logger.info { "event=list-not-read status=${answer?.status()?.code()}" }
+            page
+        }
 
     private companion object {
         val logger = KotlinLogging.logger {}
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -96,7 +96,8 @@
             required("process.region", TEXT) { it },
             required("process.address", TEXT) { it },
         )
-        val linkPort = required("process.link-port", "1 to 65535") { it.toIntOrNull()?.takeIf { port -> port in PORTS } }
+        val linkPort =
+            required("process.link-port", "1 to 65535") { it.toIntOrNull()?.takeIf { port -> port in PORTS } }
         val dataFolder = optional("process.data-folder", TEXT) { it }
         val clients = endpoint("listen.clients", isRequired = isEntry)
         val readiness = endpoint("listen.readiness", isRequired = isEntry)
@@ -159,7 +160,8 @@
         for ((name, entry) in entries) {
             if (name in asked) continue
             val known = "keys ${asked.joinToString(", ")}"
-            faults += SettingsFault.UnknownKey(entry.place, name, entry.value, known, suggestionFor(name, asked.toList()))
+            faults +=
+                SettingsFault.UnknownKey(entry.place, name, entry.value, known, suggestionFor(name, asked.toList()))
         }
     }
 
