Let an elected learner lead until a majority holds its log, and grow a group only while all voters are present

The schedule counted lost voters only; it now allows one lost member at a time, learners and the voters of a joint configuration included.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -28,8 +28,14 @@
     /** True if an entry of this term is committed, so that this leader knows what was committed before. */
     private val isEstablished: Boolean get() = log.term(context.commitIndex) == context.term
 
-    /** True once this replica is no longer a member and the group knows it. */
-    val isRemoved: Boolean get() = !context.isVoter && log.configurationIndex <= context.commitIndex
+    /**
+     * True once this replica has no vote and the group knows it.
+     *
+     * A learner with the longest log may have been elected by voters that could not win themselves. It leads until a
+     * majority holds its log, or the group would elect and lose it again and again.
+     */
+    val isRemoved: Boolean
+        get() = !context.isVoter && isEstablished && log.configurationIndex <= context.commitIndex
 
     fun propose(event: ReplicaEvent.Propose) {
         val reason =
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
@@ -60,10 +60,14 @@
             .filter { !it.voter && it.address.instance !in context.excluded && isReady(it.address.identifier) }
         for (learner in ready) replacementBy(learner.address)?.let { return it }
         val learner = ready.firstOrNull() ?: return null
-        val mayGrow = configuration.voters.size < context.options.targetVoters
-        return if (mayGrow) configuration.promoted(learner.address.identifier) else null
+        return if (mayGrow()) configuration.promoted(learner.address.identifier) else null
     }
 
+    /** With a voter more, a majority would need a voter that is away: the group grows only while all are present. */
+    private fun mayGrow(): Boolean =
+        configuration.voters.size < context.options.targetVoters &&
+            configuration.voters.all { it == context.address.identifier || isPresent(it) }
+
     /** A voter on the same instance lost its disk; otherwise a voter that stays silent is replaced. */
     private fun replacementBy(learner: ReplicaAddress): Configuration? {
         val others = configuration.members.filter { it.voter && it.address != context.address }
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -58,9 +58,20 @@
             advance()
             if (oracle.acknowledgedIndex > target && isConverged()) return
         }
-        throw ViolationException("no progress after all faults were healed")
+        throw ViolationException("no progress after all faults were healed: ${nodes.joinToString("; ", transform = ::describe)}")
     }
 
+    private fun describe(node: SimulatedNode): String {
+        val replica = node.replica ?: return "${node.instance} stopped"
+        val members = replica.configuration.members.joinToString(",") { member ->
+            member.address.instance.value + (if (member.voter) "" else "?") + (if (isLost(member)) "!" else "")
+        }
+        val previous = replica.configuration.previousVoters.size
+        return "${node.instance} last=${replica.lastIndex} commit=${replica.commitIndex} members=$members joint=$previous"
+    }
+
+    private fun isLost(member: Member): Boolean = member.address.identifier in lost
+
     private fun isConverged(): Boolean {
         val leader = nodes.find { it.replica?.isLeader == true } ?: return false
         val members = leader.replica?.configuration?.voters.orEmpty()
@@ -168,15 +179,15 @@
     }
 
     /**
-     * A group survives the loss of a disk only if a majority of each set of voters still holds what the lost replica
-     * acknowledged. While a joint configuration replaces a lost voter, that loss is not made good yet.
+     * One disk may be lost at a time: the next one only after the group has replaced each member whose disk was lost.
+     * That holds for learners too, as the leader may give a vote to one whose loss it has not noticed yet.
      */
     private fun mayLoseDisk(node: SimulatedNode): Boolean {
         if (nodes.any { it.replica == null && it !== node }) return false
         val configurations = nodes.filter { it !== node }.mapNotNull { it.replica?.configuration }
         return configurations.filter { it.members.isNotEmpty() }.all { configuration ->
-            configuration.voters.size >= VOTERS &&
-                (configuration.voters + configuration.previousVoters).none { it in lost }
+            val members = configuration.members.map { it.address.identifier } + configuration.previousVoters
+            configuration.voters.size >= VOTERS && members.none { it in lost }
         }
     }
 
