--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -266,7 +266,8 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        val TICK: Duration = 20.milliseconds
+        /** Events are handled as they come; only time-outs wait for a tick. */
+        val TICK: Duration = 50.milliseconds
 
         /** An upstream that leaves is known within this time and the lag of the list. */
         val LIST_INTERVAL = 1_000.milliseconds
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
@@ -18,6 +18,7 @@
 import org.zinniahoist.settings.GatewaySettings
 import java.nio.file.Path
 import java.security.SecureRandom
+import kotlin.time.Duration.Companion.milliseconds
 
 /** Opens the replica of the service group on this instance. */
 internal object ReplicaGroup {
@@ -40,7 +41,7 @@
         val seeds = seedsOf(settings)
         if (settings.firstStart && instance in seeds && files.list().isEmpty()) bootstrap(files, instance, seeds)
         val opened = GroupStorage.open(files, freshIdentifier(), SEGMENT_BYTES).getOrElse { fail(it) }
-        val host = GroupHost(NAME, instance, machine, opened, transport, optionsOf(settings))
+        val host = GroupHost(NAME, instance, machine, opened, transport, optionsOf(settings), tickInterval = TICK)
         host.introduce(seeds)
         return host
     }
@@ -68,6 +69,9 @@
         trailingEntries = TRAILING_ENTRIES,
     )
 
+    /** Half of the leader's heartbeat interval. */
+    private val TICK = 50.milliseconds
+
     /** Small segments let a snapshot free the disk soon. */
     private const val SEGMENT_BYTES = 8L shl 20
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -90,6 +90,8 @@
         public val LIMITS: LinkLimits = LinkLimits(
             heartbeatInterval = 400.milliseconds,
             silenceLimit = 1_500.milliseconds,
+            // Half of a heartbeat interval: each check of each link wakes the process.
+            checkInterval = 200.milliseconds,
             openTimeout = 1.seconds,
             sendQueueFrames = 1_024,
             maximumFrameBytes = 40 shl 20,
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -202,7 +202,7 @@
                 closed.complete(LinkCloseCause.Local)
             }
             if (!handling && now - lastFrame >= limits.silenceLimit) closed.complete(LinkCloseCause.Silent)
-            delay(CHECK_MILLISECONDS)
+            delay(limits.checkInterval)
         }
     }
 
@@ -229,8 +229,5 @@
     private companion object {
         val logger = KotlinLogging.logger {}
         const val OPEN = ""
-
-        /** A silent link is noticed within the silence limit and this time. */
-        const val CHECK_MILLISECONDS = 50L
     }
 }
