Bound the bytes on their way on a link, so that a full socket costs no processor time

A core that sent a batch job to its followers did nothing else; without charged processor time it never went on. Ruled out: Netty's timers (the same with epoll), coroutines of our own (the spinning thread is Ktor's writer).

--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -7,36 +7,95 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 
-/** Length-prefixed frames on a socket. One coroutine reads and one writes. */
+/**
+ * Frames on a socket. One coroutine reads and one writes.
+ *
+ * A frame is sent in chunks, each with its length in front; a flag says that more chunks follow. A negative length is
+ * no chunk but confirms that so many bytes were read, which keeps the bytes on their way within a [SendWindow].
+ */
 internal class FrameChannel(
     private val socket: Socket,
     private val maximumFrameBytes: Int,
 ) {
     private val input = socket.openReadChannel()
     private val output = socket.openWriteChannel(autoFlush = false)
+    private val writing = Mutex()
+    private val window = SendWindow(WINDOW_BYTES)
+    private var unconfirmed = 0
 
     suspend fun read(): Message {
-        val length = input.readInt()
-        // Checked before the allocation: a peer must not make this process reserve memory by four bytes.
-        if (length !in 1..maximumFrameBytes) throw FrameException("frame of $length bytes")
-        val bytes = ByteArray(length)
-        input.readFully(bytes)
+        val bytes = readFrame()
         return when (val frame = FrameCodec.decode(bytes)) {
             is DecodedFrame.Whole -> frame.message
             is DecodedFrame.Damaged -> throw FrameException("damaged frame: ${frame.detail}")
         }
     }
 
+    private suspend fun readFrame(): ByteArray {
+        val parts = ByteArrayOutputStream(0)
+        while (true) {
+            val header = input.readInt()
+            if (header < 0) {
+                window.release(-header)
+                continue
+            }
+            val size = header and SIZE_MASK
+            // Checked before the allocation: a peer must not make this process reserve memory by four bytes.
+            if (size !in 1..maximumFrameBytes - parts.size()) throw FrameException("frame of $size bytes")
+            val chunk = ByteArray(size)
+            input.readFully(chunk)
+            confirm(size)
+            val isLast = header and MORE_FLAG == 0
+            if (isLast && parts.size() == 0) return chunk
+            parts.write(chunk)
+            if (isLast) return parts.toByteArray()
+        }
+    }
+
+    private suspend fun confirm(size: Int) {
+        unconfirmed += size
+        if (unconfirmed < WINDOW_BYTES / 2) return
+        val confirmed = unconfirmed
+        unconfirmed = 0
+        writing.withLock {
+            output.writeInt(-confirmed)
+            output.flush()
+        }
+    }
+
     suspend fun write(frame: ByteArray) {
-        output.writeInt(frame.size)
-        output.writeFully(frame)
+        var offset = 0
+        while (offset < frame.size) {
+            val size = minOf(CHUNK_BYTES, frame.size - offset)
+            if (!window.tryReserve(size)) {
+                flush()
+                window.reserve(size)
+            }
+            val flag = if (offset + size < frame.size) MORE_FLAG else 0
+            writing.withLock {
+                output.writeInt(size or flag)
+                output.writeFully(frame, offset, offset + size)
+            }
+            offset += size
+        }
     }
 
-    suspend fun flush() = output.flush()
+    suspend fun flush() = writing.withLock { output.flush() }
 
     fun close() = socket.close()
+
+    private companion object {
+        /** Below the buffers of sockets even where these are small; a round trip within a region takes milliseconds. */
+        const val WINDOW_BYTES = 32L * 1_024
+        const val CHUNK_BYTES = 8 * 1_024
+        const val MORE_FLAG = 1 shl 30
+        const val SIZE_MASK = MORE_FLAG - 1
+    }
 }
 
 /** A frame that is too large, damaged or of an unknown kind. */
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/SlowReaderTest.kt
@@ -0,0 +1,82 @@
+package org.zinniahoist.wire
+
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.Role
+import strikt.api.expectThat
+import strikt.assertions.isLessThan
+import java.lang.management.ManagementFactory
+import java.net.InetAddress
+import java.net.ServerSocket
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+internal class SlowReaderTest {
+    /**
+     * Guards against a writer that spins while the socket's buffer is full, as that of Ktor 3.3.0 does: a process that
+     * sends a large frame to a slow peer must wait without using the processor.
+     */
+    @Test
+    fun `a frame to a peer that does not read costs no processor time`(): Unit = runBlocking {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { silentPeer ->
+            val client = client(Endpoint("127.0.0.1", silentPeer.localPort))
+            client.start()
+            silentPeer.accept().use { socket ->
+                socket.getOutputStream().write(frame(hello("peer")))
+                delay(300.milliseconds)
+                val before = processorNanoseconds()
+                delay(OBSERVED)
+                val used = (processorNanoseconds() - before) / 1_000_000
+                expectThat(used).isLessThan(OBSERVED.inWholeMilliseconds / 2)
+            }
+            client.close()
+        }
+    }
+
+    private fun client(endpoint: Endpoint): LinkClient {
+        val handler = object : LinkHandler {
+            override fun onOpen(link: LinkConnection) {
+                repeat(FRAMES) { link.offer(ControlMessage.ReplicaTraffic("g", ByteArray(FRAME_BYTES))) }
+            }
+
+            override suspend fun onMessage(link: LinkConnection, message: Message) = Unit
+
+            override fun onClosed(link: LinkConnection, cause: LinkCloseCause) = Unit
+        }
+        val clock = { Moment(System.nanoTime()) }
+        return LinkClient(endpoint, hello("self"), handler, ::HeartbeatContent, clock, Random(1))
+    }
+
+    private fun hello(name: String) = LinkMessage.Hello(
+        LinkLimits.PROTOCOL_VERSION,
+        InstanceName(name),
+        Incarnation(1),
+        FailureDomain("a", Region("r")),
+        setOf(Role.CONTROL),
+    )
+
+    private fun frame(message: Message): ByteArray {
+        val bytes = FrameCodec.encode(message)
+        return java.nio.ByteBuffer.allocate(FrameCodec.PREFIX_BYTES + bytes.size).putInt(bytes.size).put(bytes).array()
+    }
+
+    private fun processorNanoseconds(): Long {
+        val threads = ManagementFactory.getThreadMXBean()
+        return threads.allThreadIds.sumOf { threads.getThreadCpuTime(it).coerceAtLeast(0) }
+    }
+
+    private companion object {
+        val OBSERVED = 1_000.milliseconds
+
+        /** More than the buffers of both sockets hold. */
+        const val FRAMES = 8
+        const val FRAME_BYTES = 3 shl 20
+    }
+}
