--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -17,6 +17,7 @@
  *
  * A frame is sent in chunks, each with its length in front; a flag says that more chunks follow. A negative length is
  * no chunk but confirms that so many bytes were read, which keeps the bytes on their way within a [SendWindow].
+ * Large frames are compressed, as links between failure domains are the dearest part of a deployment.
  */
 internal class FrameChannel(
     private val socket: Socket,
@@ -50,10 +51,10 @@
             val chunk = ByteArray(size)
             input.readFully(chunk)
             confirm(size)
-            val isLast = header and MORE_FLAG == 0
-            if (isLast && parts.size() == 0) return chunk
             parts.write(chunk)
-            if (isLast) return parts.toByteArray()
+            if (header and MORE_FLAG != 0) continue
+            val whole = if (parts.size() == size) chunk else parts.toByteArray()
+            return if (header and COMPRESSED_FLAG != 0) FrameCompression.expand(whole, maximumFrameBytes) else whole
         }
     }
 
@@ -69,6 +70,11 @@
     }
 
     suspend fun write(frame: ByteArray) {
+        val compressed = if (frame.size >= COMPRESSED_FROM_BYTES) FrameCompression.compress(frame) else frame
+        if (compressed.size < frame.size) writeChunks(compressed, COMPRESSED_FLAG) else writeChunks(frame, flags = 0)
+    }
+
+    private suspend fun writeChunks(frame: ByteArray, flags: Int) {
         var offset = 0
         while (offset < frame.size) {
             val size = minOf(CHUNK_BYTES, frame.size - offset)
@@ -76,9 +82,9 @@
                 flush()
                 window.reserve(size)
             }
-            val flag = if (offset + size < frame.size) MORE_FLAG else 0
+            val more = if (offset + size < frame.size) MORE_FLAG else 0
             writing.withLock {
-                output.writeInt(size or flag)
+                output.writeInt(size or flags or more)
                 output.writeFully(frame, offset, offset + size)
             }
             offset += size
@@ -94,7 +100,11 @@
         const val WINDOW_BYTES = 32L * 1_024
         const val CHUNK_BYTES = 8 * 1_024
         const val MORE_FLAG = 1 shl 30
-        const val SIZE_MASK = MORE_FLAG - 1
+        const val COMPRESSED_FLAG = 1 shl 29
+        const val SIZE_MASK = COMPRESSED_FLAG - 1
+
+        /** Smaller frames hardly shrink. */
+        const val COMPRESSED_FROM_BYTES = 1_024
     }
 }
 
--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameCompression.kt
@@ -0,0 +1,46 @@
+package org.zinniahoist.wire
+
+import java.io.ByteArrayOutputStream
+import java.util.zip.DataFormatException
+import java.util.zip.Deflater
+import java.util.zip.Inflater
+
+/** Fast compression of frames. */
+internal object FrameCompression {
+    private const val BUFFER_BYTES = 8 * 1_024
+
+    fun compress(frame: ByteArray): ByteArray {
+        val deflater = Deflater(Deflater.BEST_SPEED)
+        try {
+            deflater.setInput(frame)
+            deflater.finish()
+            val output = ByteArrayOutputStream(frame.size / 2)
+            val buffer = ByteArray(BUFFER_BYTES)
+            while (!deflater.finished()) output.write(buffer, 0, deflater.deflate(buffer))
+            return output.toByteArray()
+        } finally {
+            deflater.end()
+        }
+    }
+
+    /** Expands [compressed], at most to [maximumBytes]: a peer must not make this process reserve memory without bound. */
+    fun expand(compressed: ByteArray, maximumBytes: Int): ByteArray {
+        val inflater = Inflater()
+        try {
+            inflater.setInput(compressed)
+            val output = ByteArrayOutputStream(compressed.size * 2)
+            val buffer = ByteArray(BUFFER_BYTES)
+            while (!inflater.finished()) {
+                val count = inflater.inflate(buffer)
+                if (count == 0 && !inflater.finished()) throw FrameException("compressed frame is cut short")
+                if (output.size() + count > maximumBytes) throw FrameException("expanded frame exceeds $maximumBytes bytes")
+                output.write(buffer, 0, count)
+            }
+            return output.toByteArray()
+        } catch (damage: DataFormatException) {
+            throw FrameException("compressed frame is damaged: ${damage.message}")
+        } finally {
+            inflater.end()
+        }
+    }
+}
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/FrameCompressionTest.kt
@@ -0,0 +1,35 @@
+package org.zinniahoist.wire
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectCatching
+import strikt.api.expectThat
+import strikt.assertions.contentEquals
+import strikt.assertions.isA
+import strikt.assertions.isFailure
+import strikt.assertions.isLessThan
+import kotlin.random.Random
+
+internal class FrameCompressionTest {
+    private val text = "the same words again and again ".repeat(2_000).encodeToByteArray()
+
+    /** Guards against frames that differ after their way over a link. */
+    @Test
+    fun `gives back what was compressed`() {
+        for (frame in listOf(text, Random(1).nextBytes(100_000))) {
+            val compressed = FrameCompression.compress(frame)
+            expectThat(FrameCompression.expand(compressed, frame.size)).contentEquals(frame)
+        }
+        expectThat(FrameCompression.compress(text).size).isLessThan(text.size / 10)
+    }
+
+    /** Guards against a small frame that expands without a bound, and against one that is cut short. */
+    @Test
+    fun `refuses frames that are too large or damaged`() {
+        val compressed = FrameCompression.compress(text)
+        expectCatching { FrameCompression.expand(compressed, text.size - 1) }.isFailure().isA<FrameException>()
+        expectCatching { FrameCompression.expand(compressed.copyOf(compressed.size / 2), text.size) }
+            .isFailure()
+            .isA<FrameException>()
+        expectCatching { FrameCompression.expand(Random(2).nextBytes(100), text.size) }.isFailure().isA<FrameException>()
+    }
+}
