--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Membership.kt
@@ -64,9 +64,8 @@
     }
 
     /** With a voter more, a majority would need a voter that is away: the group grows only while all are present. */
-    private fun mayGrow(): Boolean =
-        configuration.voters.size < context.options.targetVoters &&
-            configuration.voters.all { it == context.address.identifier || isPresent(it) }
+    private fun mayGrow(): Boolean = configuration.voters.size < context.options.targetVoters &&
+        configuration.voters.all { it == context.address.identifier || isPresent(it) }
 
     /** A voter on the same instance lost its disk; otherwise a voter that stays silent is replaced. */
     private fun replacementBy(learner: ReplicaAddress): Configuration? {
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -58,7 +58,9 @@
             advance()
             if (oracle.acknowledgedIndex > target && isConverged()) return
         }
-        throw ViolationException("no progress after all faults were healed: ${nodes.joinToString("; ", transform = ::describe)}")
+        throw ViolationException(
+            "no progress after all faults were healed: ${nodes.joinToString("; ", transform = ::describe)}",
+        )
     }
 
     private fun describe(node: SimulatedNode): String {
@@ -67,7 +69,8 @@
             member.address.instance.value + (if (member.voter) "" else "?") + (if (isLost(member)) "!" else "")
         }
         val previous = replica.configuration.previousVoters.size
-        return "${node.instance} last=${replica.lastIndex} commit=${replica.commitIndex} members=$members joint=$previous"
+        val indexes = "last=${replica.lastIndex} commit=${replica.commitIndex}"
+        return "${node.instance} $indexes members=$members joint=$previous"
     }
 
     private fun isLost(member: Member): Boolean = member.address.identifier in lost
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/SimulationTest.kt
@@ -21,8 +21,8 @@
 
         /**
          * Guards against a repair that needs a majority with an empty disk: before votes were replaced in one joint
-         * step, these seeds ended with two replicas with a log that could not elect a leader. In the last two, a learner
-         * with the longest log stepped down each time before its log was on a majority.
+         * step, these seeds ended with two replicas with a log that could not elect a leader. In the last two, a
+         * learner with the longest log stepped down each time before its log was on a majority.
          */
         @ParameterizedTest
         @ValueSource(longs = [913_164, 1_000_807, 1_102_839, 1_104_298, 961_758, 1_014_256])
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -266,6 +266,7 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+
         /** Events are handled as they come; only time-outs wait for a tick. */
         val TICK: Duration = 50.milliseconds
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.gateway.entry
 
+import com.linecorp.armeria.common.ContentTooLargeException
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
@@ -10,6 +11,7 @@
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
@@ -19,12 +21,16 @@
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.routes.RefusalCause
+import org.zinniahoist.policy.routes.ReturnAdvice
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.policy.routes.RouteTable
 import org.zinniahoist.policy.routes.drawService
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
+import java.util.Locale
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -70,9 +76,9 @@
 
     private suspend fun guarded(request: HttpRequest): HttpResponse = try {
         answer(request)
-    } catch (cancelled: kotlinx.coroutines.CancellationException) {
+    } catch (cancelled: CancellationException) {
         throw cancelled
-    } catch (_: com.linecorp.armeria.common.ContentTooLargeException) {
+    } catch (_: ContentTooLargeException) {
         HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
     } catch (failure: Exception) {
         logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
@@ -85,7 +91,7 @@
         val query = request.path().substringAfter('?', "").ifEmpty { null }
         dialect.clientCall(request.method().name, path, query)?.let { return answerCall(request, it) }
         val body = request.aggregate().await().content().array()
-        val known = routes ?: return refusal(request, "no configuration yet")
+        val known = routes ?: return refusal(request, RefusalCause.NO_CONFIGURATION, "no configuration yet")
         val host = request.headers().authority().orEmpty().substringBefore(':')
         val route = known.find(host, path)
         if (route == null) {
@@ -119,7 +125,7 @@
         }
         return when (forwarded) {
             is Forwarded.Answer -> passOn(forwarded.answer)
-            is Forwarded.NotRun -> refusal(request, forwarded.reason)
+            is Forwarded.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, forwarded.reason)
             is Forwarded.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
         }
     }
@@ -147,9 +153,11 @@
     ): HttpResponse {
         val identifier = request.headers().get(names.requestIdentifier)
         val service = route.drawService(random)
-        val used = HashSet<org.zinniahoist.model.UpstreamIdentity>()
+        val used = HashSet<UpstreamIdentity>()
         repeat(route.maximumAttempts) {
-            val upstream = directory.choose(service, used) ?: return refusal(request, "no upstream of $service")
+            val upstream =
+                directory.choose(service, used)
+                    ?: return refusal(request, RefusalCause.NO_UPSTREAM, "no upstream of $service")
             used += upstream.identity
             val budget = Forwarder.budget(request.headers().get(names.remainingMilliseconds), route.timeout)
             val headers = Forwarder.forwardedHeaders(request.headers())
@@ -171,7 +179,7 @@
                 return HttpResponse.of(head, split.body())
             }
         }
-        return refusal(request, "refused by ${used.size} upstreams")
+        return refusal(request, RefusalCause.NO_UPSTREAM, "refused by ${used.size} upstreams")
     }
 
     private suspend fun submit(
@@ -221,18 +229,20 @@
 
         is ServiceReply.Invalid -> HttpResponse.of(HttpStatus.BAD_REQUEST)
 
-        is ServiceReply.Unavailable -> refusal(request, reply.detail)
+        is ServiceReply.Unavailable -> refusal(request, RefusalCause.NO_LEADER, reply.detail)
 
         else -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
     }
 
-    /** The request has not run and will not run; the clients' returns are spread. */
-    private fun refusal(request: HttpRequest, reason: String): HttpResponse {
+    /** The request has not run and will not run. */
+    private fun refusal(request: HttpRequest, cause: RefusalCause, reason: String): HttpResponse {
         val identifier = request.headers().get(names.requestIdentifier)
-        val seconds = random.nextDouble(SHORTEST_RETURN_SECONDS, LONGEST_RETURN_SECONDS)
-        logger.info { "event=refused request=$identifier reason=\"$reason\" retry-after=$seconds" }
+        val remaining = Forwarder.budget(request.headers().get(names.remainingMilliseconds), UNSTATED_BUDGET)
+        val after = ReturnAdvice.after(cause, remaining, random)
+        logger.info { "event=refused request=$identifier cause=$cause reason=\"$reason\" retry-after=$after" }
+        val seconds = after.inWholeMilliseconds / MILLISECONDS_PER_SECOND
         val headers = ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
-            .set("retry-after", "%.2f".format(java.util.Locale.ROOT, seconds))
+            .set("retry-after", "%.2f".format(Locale.ROOT, seconds))
             .build()
         return HttpResponse.of(headers)
     }
@@ -244,7 +254,9 @@
         val SUBMIT_TIMEOUT = 2.seconds
         val CALL_TIMEOUT = 1_400.milliseconds
         const val LONGEST_WAIT_MILLISECONDS = 1_000L
-        const val SHORTEST_RETURN_SECONDS = 0.1
-        const val LONGEST_RETURN_SECONDS = 0.4
+        const val MILLISECONDS_PER_SECOND = 1_000.0
+
+        /** Assumed of a client that does not state how long it waits. */
+        val UNSTATED_BUDGET = 2.seconds
     }
 }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
@@ -28,7 +28,12 @@
     private val start = Moment(0)
     private val dispatcher = ItemDispatcher()
 
-    private fun upstream(name: String, slots: Int = 2, version: Long = 1, isLeaving: Boolean = false) = ListedUpstream(
+    private fun upstream(
+        name: String,
+        slots: Int = 2,
+        version: Long = 1,
+        isLeaving: Boolean = false,
+    ) = ListedUpstream(
         identity = UpstreamIdentity(name),
         service = service,
         endpoint = Endpoint("127.0.0.1", 80),
@@ -38,7 +43,12 @@
         versions = mapOf(model to WeightVersion(version)),
     )
 
-    private fun item(name: String, minimum: Long = 1, single: Boolean = false, expected: Int = 0) = ItemWork(
+    private fun item(
+        name: String,
+        minimum: Long = 1,
+        single: Boolean = false,
+        expected: Int = 0,
+    ) = ItemWork(
         key = ItemKey("job", RequestIdentifier(name)),
         service = service,
         dueAt = start + 7.seconds,
@@ -201,7 +211,7 @@
             expectThat(starts(dispatcher.tick(start))).isEmpty()
         }
 
-        /** Load pattern: more items than places, some of them very long. Guards against a long item that starts last. */
+        /** Load pattern: more items than places, some very long. Guards against a long item that starts last. */
         @Test
         fun `goes to the longest item first`() {
             dispatcher.board.relist(listOf(upstream("a", slots = 1)))
--- a/policy/src/test/kotlin/org/zinniahoist/policy/routes/RouteTableTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/routes/RouteTableTest.kt
@@ -58,7 +58,9 @@
             expectThat(faultOf(configuration(route("/a/", shares = unknown)))).isA<ConfigurationFault.UnknownService>()
             expectThat(faultOf(configuration(route("/a/"), route("/a/", name = "b"))))
                 .isA<ConfigurationFault.DuplicatePlace>()
-            expectThat(faultOf(configuration(route("/a/", timeout = Duration.ZERO)))).isA<ConfigurationFault.NoTimeout>()
+            expectThat(
+                faultOf(configuration(route("/a/", timeout = Duration.ZERO))),
+            ).isA<ConfigurationFault.NoTimeout>()
             expectThat(faultOf(configuration(route("/a")))).isA<ConfigurationFault.MalformedPrefix>()
             expectThat(faultOf(configuration(route("/a/")))).isNull()
         }
--- /dev/null
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -0,0 +1,70 @@
+package org.zinniahoist.settings
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.Endpoint
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.seconds
+
+internal class GatewaySettingsTest {
+    private val core =
+        """
+        [process]
+        machine = store-a-1
+        role = core
+        failure-domain = a
+        region = r
+        address = 10.0.0.1
+        link-port = 7300
+        data-folder = /data/core
+        [listen]
+        clients =
+        readiness =
+        operators = 10.0.0.1:8262
+        [group]
+        seeds = 10.0.0.1:8262,10.0.0.2:8262
+        first-start = true
+        tolerated-losses = 1
+        [platform]
+        list = 10.0.0.9:8266
+        [times]
+        grace-seconds = 8
+        order-lease-milliseconds = 3000
+        """.trimIndent()
+
+    private fun faults(text: String): List<String> =
+        GatewaySettingsReader.parse("f.ini", text).fold({ faults -> faults.map { it.message } }, { emptyList() })
+
+    /** Guards against a value that is lost or read into another field. */
+    @Test
+    fun `are read with empty values for what a role does not serve`() {
+        val settings = GatewaySettingsReader.parse("f.ini", core).fold({ error("$it") }, { it })
+        expectThat(settings.role).isEqualTo(GatewayRole.CORE)
+        expectThat(settings.clients).isEqualTo(null)
+        expectThat(settings.seeds).containsExactly(Endpoint("10.0.0.1", 8262), Endpoint("10.0.0.2", 8262))
+        expectThat(settings.grace).isEqualTo(8.seconds)
+    }
+
+    /** Guards against a start with settings of which only the first fault is named. */
+    @Test
+    fun `name all faults at once`() {
+        val text = core.replace("role = core", "role = cor").replace("link-port = 7300", "link-prt = 7300")
+        expectThat(faults(text)).containsExactly(
+            "key 'process.link-port' is missing; allowed: 1 to 65535",
+            "key 'process.role' has value 'cor'; allowed: entry, core",
+            "unknown key 'process.link-prt' with value '7300'; allowed: keys process.role, process.machine, " +
+                "process.failure-domain, process.region, process.address, process.link-port, process.data-folder, " +
+                "listen.clients, listen.readiness, listen.operators, group.seeds, group.first-start, " +
+                "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds; " +
+                "did you mean 'process.link-port'?",
+        )
+    }
+
+    /** Guards against a core that keeps its replica nowhere. */
+    @Test
+    fun `of a core need a data folder`() {
+        expectThat(faults(core.replace("data-folder = /data/core", "data-folder =")))
+            .containsExactly("key 'process.data-folder' is missing; allowed: a text")
+    }
+}
--- /dev/null
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -0,0 +1,114 @@
+package org.zinniahoist.state.service
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.StateCodec
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThan
+import strikt.assertions.isNull
+import strikt.assertions.isTrue
+
+internal class ServiceStateMachineTest {
+    private object Silent : ServiceListener {
+        override fun onConfiguration(configuration: StoredConfiguration) = Unit
+
+        override fun onJob(record: JobRecord) = Unit
+
+        override fun onVersion(model: ModelName, version: WeightVersion) = Unit
+    }
+
+    private val machine = ServiceStateMachine(Silent)
+    private var index = 0L
+
+    private fun apply(command: ServiceCommand, time: Long = 0): ServiceAnswer =
+        StateCodec.decode(machine.apply(++index, time, StateCodec.encode(command)))
+
+    private fun configure(revision: Long, content: Int) =
+        apply(ServiceCommand.AcceptConfiguration(Revision(revision), byteArrayOf(content.toByte())))
+
+    private fun submit(name: String, time: Long = 0): ServiceAnswer {
+        val items = listOf("a", "b").map { BatchItem(RequestIdentifier(it), "/p", emptyList(), byteArrayOf(1), 10) }
+        return apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(name), "h", "/p/", items)), time)
+    }
+
+    private fun record(item: String, output: String) = apply(
+        ServiceCommand.RecordResults(JobIdentifier("j"), listOf(ItemResult(RequestIdentifier(item), true, output))),
+    )
+
+    /** Guards against an older or equal revision that replaces the one in force. */
+    @Test
+    fun `keeps the configuration with the highest revision and its first content`() {
+        configure(7, content = 1)
+        configure(7, content = 2)
+        configure(6, content = 3)
+        expectThat(machine.configuration?.revision).isEqualTo(Revision(7))
+        expectThat(machine.configuration?.document?.single()).isEqualTo(1)
+    }
+
+    /** Guards against a result that changes its position or its content when it is recorded again. */
+    @Test
+    fun `lists each item once, at the position where it was listed first`() {
+        submit("j")
+        record("b", "first")
+        record("b", "second")
+        record("a", "third")
+        record("x", "of no item")
+        val job = machine.job(JobIdentifier("j"))
+        expectThat(job?.results?.map { it.output }).isEqualTo(listOf("first", "third"))
+        expectThat(job!!.openItems()).hasSize(0)
+    }
+
+    /** Guards against a resent submission that empties a job. */
+    @Test
+    fun `accepts a job once`() {
+        submit("j")
+        record("a", "text")
+        submit("j")
+        expectThat(machine.job(JobIdentifier("j"))!!.results).hasSize(1)
+        expectThat(apply(ServiceCommand.EndJob(JobIdentifier("j")))).isA<ServiceAnswer.Done>()
+        expectThat(apply(ServiceCommand.EndJob(JobIdentifier("j")))).isA<ServiceAnswer.Done>()
+        expectThat(apply(ServiceCommand.EndJob(JobIdentifier("k")))).isA<ServiceAnswer.UnknownJob>()
+    }
+
+    /** Guards against two leaders with equal fencing tokens. */
+    @Test
+    fun `draws larger fencing tokens each time`() {
+        val first = apply(ServiceCommand.DrawFence("a")) as ServiceAnswer.Fence
+        val second = apply(ServiceCommand.DrawFence("b")) as ServiceAnswer.Fence
+        expectThat(first.token).isLessThan(second.token)
+    }
+
+    /** Guards against a replica that differs after it was restored from a snapshot. */
+    @Test
+    fun `is the same after a snapshot`() {
+        configure(7, content = 1)
+        submit("j")
+        record("a", "text")
+        apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        apply(ServiceCommand.NameVersion(ModelName("m"), WeightVersion(3)))
+        apply(ServiceCommand.RetireInstance("store-1", InstanceName("10.0.0.1:1")))
+        val restored = ServiceStateMachine(Silent).also { it.restore(machine.snapshot()) }
+        expectThat(restored.configuration?.revision).isEqualTo(Revision(7))
+        expectThat(restored.job(JobIdentifier("j"))!!.results.map { it.output }).containsExactly("text")
+        expectThat(restored.job(JobIdentifier("j"))!!.isEnded).isTrue()
+        expectThat(restored.versions[ModelName("m")]).isEqualTo(WeightVersion(3))
+        expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
+    }
+
+    /** Guards against a state that grows for ever. */
+    @Test
+    fun `forgets jobs after their retention`() {
+        submit("j", time = 0)
+        submit("k", time = ServiceStateMachine.DEFAULT_RETENTION.inWholeMilliseconds + 1)
+        expectThat(machine.job(JobIdentifier("j"))).isNull()
+        expectThat(machine.jobs).hasSize(1)
+    }
+}
--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -109,4 +109,7 @@
 }
 
 /** A frame that is too large, damaged or of an unknown kind. */
-internal class FrameException(message: String) : IOException(message)
+internal class FrameException(
+    message: String,
+    cause: Throwable? = null,
+) : IOException(message, cause)
--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameCompression.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameCompression.kt
@@ -23,7 +23,7 @@
         }
     }
 
-    /** Expands [compressed], at most to [maximumBytes]: a peer must not make this process reserve memory without bound. */
+    /** Expands [compressed], at most to [maximumBytes], as a peer must not make this process reserve memory at will. */
     fun expand(compressed: ByteArray, maximumBytes: Int): ByteArray {
         val inflater = Inflater()
         try {
@@ -33,12 +33,16 @@
             while (!inflater.finished()) {
                 val count = inflater.inflate(buffer)
                 if (count == 0 && !inflater.finished()) throw FrameException("compressed frame is cut short")
-                if (output.size() + count > maximumBytes) throw FrameException("expanded frame exceeds $maximumBytes bytes")
+                if (output.size() + count >
+                    maximumBytes
+                ) {
+                    throw FrameException("expanded frame exceeds $maximumBytes bytes")
+                }
                 output.write(buffer, 0, count)
             }
             return output.toByteArray()
         } catch (damage: DataFormatException) {
-            throw FrameException("compressed frame is damaged: ${damage.message}")
+            throw FrameException("compressed frame is damaged: ${damage.message}", damage)
         } finally {
             inflater.end()
         }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/FrameCompressionTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/FrameCompressionTest.kt
@@ -30,6 +30,8 @@
         expectCatching { FrameCompression.expand(compressed.copyOf(compressed.size / 2), text.size) }
             .isFailure()
             .isA<FrameException>()
-        expectCatching { FrameCompression.expand(Random(2).nextBytes(100), text.size) }.isFailure().isA<FrameException>()
+        expectCatching {
+            FrameCompression.expand(Random(2).nextBytes(100), text.size)
+        }.isFailure().isA<FrameException>()
     }
 }
