Refuse a confirmation on a link that cannot be true

Cause: since frames are confirmed with a negative length, a damaged negative length was taken for a confirmation, and the test 'a negative length closes the link' waited for ever. A confirmation is at least half of the window and no more than what is on its way; anything else closes the link. The 18 tests of the module pass.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -42,7 +42,7 @@
         while (true) {
             val header = input.readInt()
             if (header < 0) {
-                window.release(-header)
+                release(-header)
                 continue
             }
             val size = header and SIZE_MASK
@@ -58,9 +58,14 @@
         }
     }
 
+    /** A peer confirms a large part of the window at once; any other negative length is damage. */
+    private fun release(size: Int) {
+        if (size < CONFIRMED_BYTES || !window.release(size)) throw FrameException("frame of ${-size} bytes")
+    }
+
     private suspend fun confirm(size: Int) {
         unconfirmed += size
-        if (unconfirmed < WINDOW_BYTES / 2) return
+        if (unconfirmed < CONFIRMED_BYTES) return
         val confirmed = unconfirmed
         unconfirmed = 0
         writing.withLock {
@@ -98,6 +103,7 @@
     private companion object {
         /** Below the buffers of sockets even where these are small; a round trip within a region takes milliseconds. */
         const val WINDOW_BYTES = 32L * 1_024
+        const val CONFIRMED_BYTES = 16 * 1_024
         const val CHUNK_BYTES = 8 * 1_024
         const val MORE_FLAG = 1 shl 30
         const val COMPRESSED_FLAG = 1 shl 29
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendWindow.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendWindow.kt
@@ -27,8 +27,10 @@
         sent.addAndGet(size.toLong())
     }
 
-    /** The peer has read [size] bytes more. */
-    fun release(size: Int) {
+    /** The peer has read [size] bytes more. Returns false if that many were not on their way. */
+    fun release(size: Int): Boolean {
+        if (confirmed.value + size > sent.get()) return false
         confirmed.value += size
+        return true
     }
 }
