Import what is used, log damaged replica messages, and let the daemon name messages of other roles

Cause: the messages of the gateway made the daemon's exhaustive choice incomplete, so the build of the whole tree failed on (modules had been built one by one). The whole tree builds again.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/DaemonLinks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/DaemonLinks.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.daemon
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.daemon.control.ControlLinks
 import org.zinniahoist.daemon.control.EngineObserver
 import org.zinniahoist.daemon.sidecar.Sidecar
@@ -12,6 +13,7 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.Message
 import org.zinniahoist.wire.PeerMessage
+import org.zinniahoist.wire.ServiceMessage
 
 /** Passes the links that a daemon accepts to the roles that it runs. */
 internal class DaemonLinks(
@@ -32,6 +34,7 @@
             is AttemptMessage -> sidecar?.onMessage(link, message)
             is PeerMessage -> entryPeers?.onMessage(link, message)
             is ControlMessage -> control?.onMessage(link, message)
+            is ServiceMessage -> logger.warn { "event=message-of-other-role peer=${link.peer.instance}" }
             is LinkMessage.Heartbeat -> observer?.onHeartbeat(link.peer, message)
             is LinkMessage -> Unit
         }
@@ -45,4 +48,8 @@
         control?.onClosed(link)
         observer?.onClosed(link.peer)
     }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
 }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/control/ControlGroups.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/control/ControlGroups.kt
@@ -4,6 +4,7 @@
 import arrow.core.flatMap
 import arrow.core.left
 import arrow.core.right
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.future.await
 import org.zinniahoist.consensus.Configuration
 import org.zinniahoist.consensus.DiskFileStore
@@ -48,8 +49,11 @@
 
     /** Hands a message of another replica to its group. */
     public fun receive(traffic: ControlMessage.ReplicaTraffic) {
-        val message = runCatching { StateCodec.decode<ReplicaMessage>(traffic.content) }.getOrNull() ?: return
-        hosts[traffic.group]?.receive(message)
+        try {
+            hosts[traffic.group]?.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
+        } catch (fault: IllegalArgumentException) {
+            logger.warn { "event=replica-message-damaged group=${traffic.group} detail=\"${fault.message}\"" }
+        }
     }
 
     override fun close(): Unit = hosts.values.forEach(GroupHost::close)
@@ -70,6 +74,8 @@
     ) = ControlMessage.ControlReply(call.identifier, status, content, leader)
 
     public companion object {
+        private val logger = KotlinLogging.logger {}
+
         /** Opens the groups that [instance] is a member of, with their files under [folder]. */
         public fun open(
             instance: InstanceName,
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DraftTools.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/DraftTools.kt
@@ -108,7 +108,7 @@
     }
 
     private companion object {
-        /** Tokens per second of one attempt on an engine with idle slots; assumed, not measured. */
+        /** Tokens per second of one attempt on an engine with idle slots, for the first estimate of a deadline. */
         const val IDLE_PACE = 50.0
     }
 }
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SampleOutlooks.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/entry/SampleOutlooks.kt
@@ -45,7 +45,7 @@
         /** Weights change every few minutes until the trainer's own pace is known. */
         val DEFAULT_INTERVAL = 3.minutes
 
-        /** Tokens per second of one attempt; assumed, not measured. */
+        /** Tokens per second of one attempt, for the first estimate. */
         const val EXPECTED_PACE = 50.0
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -48,6 +48,8 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
 import org.zinniahoist.wire.ServiceMessage
+import org.zinniahoist.wire.ServiceReply
+import java.net.InetSocketAddress
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
@@ -118,7 +120,7 @@
         val endpoint = checkNotNull(settings.operators) { "a core needs an address for operators" }
         val service = OperatorHttp(dialect, jobs, machine, host, links, retirements, scope, endpoint.port)
         val server = Server.builder()
-            .http(java.net.InetSocketAddress(endpoint.host, endpoint.port))
+            .http(InetSocketAddress(endpoint.host, endpoint.port))
             .maxRequestLength(MAXIMUM_BODY_BYTES)
             .requestTimeoutMillis(0)
             .serviceUnder("/", service)
@@ -220,9 +222,9 @@
     private suspend fun record(job: JobIdentifier, result: ItemResult) {
         while (true) {
             val reply = jobs.propose(ServiceCommand.RecordResults(job, listOf(result)))
-            if (reply is org.zinniahoist.wire.ServiceReply.Done || !host.status.isLeader) return
+            if (reply is ServiceReply.Done || !host.status.isLeader) return
             logger.warn { "event=result-not-recorded job=$job item=${result.item} reply=${reply::class.simpleName}" }
-            if (reply is org.zinniahoist.wire.ServiceReply.NotFound) return
+            if (reply is ServiceReply.NotFound) return
             delay(RECORD_RETRY)
         }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.metric.NoopMeterRegistry
 import com.linecorp.armeria.server.Server
+import com.linecorp.armeria.server.ServerBuilder
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -70,7 +71,7 @@
 
     private fun isReady(): Boolean = !http.isStopping && core.isInformed && http.routes != null && directory.isKnown
 
-    private fun serverOn(endpoint: Endpoint, configure: (com.linecorp.armeria.server.ServerBuilder) -> Unit): Server {
+    private fun serverOn(endpoint: Endpoint, configure: (ServerBuilder) -> Unit): Server {
         val builder = Server.builder()
             .http(InetSocketAddress(endpoint.host, endpoint.port))
             .meterRegistry(NoopMeterRegistry.get())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.RequestHeadersBuilder
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
@@ -198,7 +199,7 @@
         )
 
         /** Returns [headers] without those that concern one connection only. */
-        fun forwardedHeaders(headers: RequestHeaders): com.linecorp.armeria.common.RequestHeadersBuilder {
+        fun forwardedHeaders(headers: RequestHeaders): RequestHeadersBuilder {
             val builder = RequestHeaders.builder(headers.method(), headers.path())
             headers.authority()?.let(builder::authority)
             for ((name, value) in headers) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.upstream
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
@@ -39,7 +40,7 @@
         timeout: Duration,
     ): AggregatedHttpResponse? {
         val request = HttpRequest.of(headers, HttpData.wrap(body))
-        val options = com.linecorp.armeria.client.RequestOptions.builder()
+        val options = RequestOptions.builder()
             .responseTimeout(timeout.toJavaDuration())
             .build()
         return try {
