Elect a leader at once when the last one's process is known to be gone

Cause: after a kill of all processes, or of the leader's process, the replicas waited for the silence of the leader (0.6 to 1.2 s), although a refused connection shows that its process is gone, and a restarted voter waited as long. Ruled out: starting processes (ready within 10 ms of simulated time) and the push of the configuration (5 ms after the election).

A replica now campaigns 40 to 120 ms after its start, and after a refused connection to the leader; pre-votes are still refused by all who hear the leader.

The lock of a data folder reports the cause of a refusal.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/DiskFileStore.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/DiskFileStore.kt
@@ -3,6 +3,7 @@
 import java.io.IOException
 import java.nio.ByteBuffer
 import java.nio.channels.FileChannel
+import java.nio.channels.OverlappingFileLockException
 import java.nio.file.AtomicMoveNotSupportedException
 import java.nio.file.Files
 import java.nio.file.Path
@@ -22,13 +23,22 @@
     init {
         Files.createDirectories(path)
         lockChannel = FileChannel.open(path.resolve(LOCK_NAME), StandardOpenOption.CREATE, StandardOpenOption.WRITE)
-        val locked = runCatching { lockChannel.tryLock() }.getOrNull() != null
-        if (!locked) {
+        val refusal = lockRefusal()
+        if (refusal != null) {
             lockChannel.close()
-            throw IOException("folder $path is in use by another process")
+            throw refusal
         }
     }
 
+    /** Takes the lock, or returns why it can't be had. */
+    private fun lockRefusal(): IOException? = try {
+        if (lockChannel.tryLock() == null) IOException("folder $path is in use by another process") else null
+    } catch (fault: OverlappingFileLockException) {
+        IOException("folder $path is in use by this process", fault)
+    } catch (fault: IOException) {
+        IOException("folder $path can't be locked: ${fault.message}", fault)
+    }
+
     override val location: String get() = path.toString()
 
     override fun list(): List<String> =
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -18,8 +18,11 @@
     private val granted = HashSet<ReplicaIdentifier>()
     private var deadline: Moment = context.now
 
+    /** Until then it is likely that no replica leads. */
+    private var promptUntil: Moment = context.now
+
     init {
-        resetDeadline()
+        expectNoLeader()
     }
 
     val isDue: Boolean get() = context.now >= deadline
@@ -29,6 +32,23 @@
         deadline = context.now + context.random.nextLong(shortest, 2 * shortest).nanoseconds
     }
 
+    /** Campaigns soon, for a while: a leader that lives after all is heard by others, which then refuse the pre-vote. */
+    fun expectNoLeader() {
+        promptUntil = context.now + context.options.electionTimeout
+        setPromptDeadline()
+    }
+
+    /** Waits for the silence of the leader again, which has been heard. */
+    fun expectLeader() {
+        promptUntil = context.now
+        resetDeadline()
+    }
+
+    private fun setPromptDeadline() {
+        val shortest = context.options.promptElectionDelay.inWholeNanoseconds
+        deadline = context.now + context.random.nextLong(shortest, 3 * shortest).nanoseconds
+    }
+
     fun cancel() {
         phase = Phase.IDLE
     }
@@ -38,7 +58,7 @@
         phase = Phase.PRE_VOTE
         granted.clear()
         granted += context.address.identifier
-        resetDeadline()
+        if (context.now < promptUntil) setPromptDeadline() else resetDeadline()
         val request = PreVoteRequest(context.term + 1, context.log.lastIndex, context.log.lastTerm)
         otherVoters().forEach { context.sendAfterSync(it, request) }
         if (hasMajority()) campaign()
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -83,6 +83,11 @@
         if (!stopped) queue += ReplicaEvent.Introduce(instances, excluded)
     }
 
+    /** Reports that the process on [instance] no longer listens, so that another leader is elected at once. */
+    public fun reportStopped(instance: InstanceName) {
+        if (!stopped) queue += ReplicaEvent.Stopped(instance)
+    }
+
     /** Hands the leadership over, if this replica has it, before the process stops. */
     public fun handOver() {
         if (!stopped) queue += ReplicaEvent.HandOver
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -95,6 +95,8 @@
 
             is ReplicaEvent.HandOver -> leader?.transfer()
 
+            is ReplicaEvent.Stopped -> onStopped(event.instance)
+
             is ReplicaEvent.Persisted -> {
                 context.log.onPersisted(event.sequence)
                 context.outbox.onPersisted(event.sequence)
@@ -210,11 +212,17 @@
         check(leader == null) { "two leaders in term $term: $address and $from" }
         if (leaderAddress != from) becomeFollower(term, from)
         election.cancel()
-        election.resetDeadline()
+        election.expectLeader()
         lastLeaderContact = context.now
         refusedOlderLog = false
     }
 
+    private fun onStopped(instance: InstanceName) {
+        if (leaderAddress?.instance != instance || isLeader || lastLeaderContact == null) return
+        lastLeaderContact = null
+        election.expectNoLeader()
+    }
+
     /** Answers the request of an old leader or candidate, so that it learns the present term. */
     private fun answerStale(message: ReplicaMessage) {
         when (val content = message.content) {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaEvent.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaEvent.kt
@@ -41,6 +41,9 @@
         public val excluded: Set<InstanceName> = emptySet(),
     ) : ReplicaEvent
 
+    /** The process on [instance] no longer listens, so that it leads no more until it has started again. */
+    public data class Stopped(public val instance: InstanceName) : ReplicaEvent
+
     /** The process is about to stop: the leader hands over to another voter. */
     public data object HandOver : ReplicaEvent
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
@@ -10,6 +10,9 @@
  * @property heartbeatInterval time between heartbeats of the leader.
  * @property electionTimeout shortest silence of the leader after which a replica campaigns; the actual timeout is drawn
  * between this and twice this. A leader that hears no majority for this long steps down.
+ * @property promptElectionDelay shortest wait before a campaign while there is reason to think that no replica leads:
+ * after a start, or when the leader's process no longer listens; the actual wait is drawn between this and three times
+ * this. It exceeds a few round trips, so that one replica campaigns before the others.
  * @property maximumBatchBytes limit of the commands in one append message and of one snapshot chunk; with the envelope
  * it stays below the 4 MiB of a frame on a link.
  * @property maximumCommandBytes larger commands are refused.
@@ -28,6 +31,7 @@
 public data class ReplicaOptions(
     public val heartbeatInterval: Duration = 100.milliseconds,
     public val electionTimeout: Duration = 600.milliseconds,
+    public val promptElectionDelay: Duration = 40.milliseconds,
     public val maximumBatchBytes: Int = 1 shl 20,
     public val maximumCommandBytes: Int = 1 shl 20,
     public val maximumInflightAppends: Int = 32,
--- /dev/null
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/DiskFileStoreTest.kt
@@ -0,0 +1,24 @@
+package org.zinniahoist.consensus
+
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
+import org.junit.jupiter.api.io.TempDir
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isA
+import strikt.assertions.isNotNull
+import java.io.IOException
+import java.nio.channels.OverlappingFileLockException
+import java.nio.file.Path
+
+class DiskFileStoreTest {
+    /** Guards against a refused lock whose cause is lost, so that an operator looks for a process that doesn't exist. */
+    @Test
+    fun `a lock that this process holds is refused with its cause`(@TempDir folder: Path) {
+        val first = DiskFileStore(folder)
+        val refusal = assertThrows<IOException> { DiskFileStore(folder) }
+        expectThat(refusal.message).isNotNull().contains("in use by this process")
+        expectThat(refusal.cause).isA<OverlappingFileLockException>()
+        first.close()
+    }
+}
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -118,6 +118,58 @@
         }
     }
 
+    @Nested
+    inner class `Without a leader` {
+        /** Guards against a group that waits for the silence of a leader after all processes have started again. */
+        @Test
+        fun `a restarted voter campaigns within a fraction of the election timeout`() {
+            val replica = replica(first)
+            expectThat(replica.step(ReplicaEvent.Tick, 120.milliseconds).sent()).contains(PreVoteRequest(2, 1, 1))
+        }
+
+        /** Guards against a first campaign that found nobody and is repeated only after the election timeout. */
+        @Test
+        fun `a restarted voter repeats its campaign while the others start`() {
+            val replica = replica(first)
+            replica.step(ReplicaEvent.Tick, 120.milliseconds)
+            expectThat(replica.step(ReplicaEvent.Tick, 120.milliseconds).sent()).contains(PreVoteRequest(2, 1, 1))
+        }
+
+        /** Guards against waiting for the election timeout although the leader's process is known to be gone. */
+        @Test
+        fun `a follower campaigns soon after the leader's process stopped`() {
+            val replica = follower()
+            replica.step(ReplicaEvent.Stopped(addresses[1].instance))
+            expectThat(replica.step(ReplicaEvent.Tick, 120.milliseconds).sent()).contains(PreVoteRequest(3, 1, 1))
+        }
+
+        /** Guards against votes that are refused for the sake of a leader whose process is gone. */
+        @Test
+        fun `a follower grants a pre-vote after the leader's process stopped`() {
+            val replica = follower()
+            replica.step(ReplicaEvent.Stopped(addresses[1].instance))
+            val response = replica.receive(2, PreVoteRequest(3, 1, 1)).sent()
+            expectThat(response).contains(PreVoteResponse(3, granted = true))
+        }
+
+        /** Guards against elections because a process stopped that did not lead. */
+        @Test
+        fun `a follower keeps its leader when another process stopped`() {
+            val replica = follower()
+            replica.step(ReplicaEvent.Stopped(addresses[2].instance))
+            expectThat(replica.step(ReplicaEvent.Tick, 120.milliseconds).sent()).isEmpty()
+            val response = replica.receive(2, PreVoteRequest(3, 1, 1)).sent()
+            expectThat(response).contains(PreVoteResponse(3, granted = false))
+        }
+
+        private fun follower(): Replica {
+            val replica = replica(first)
+            val heard = replica.receive(1, AppendRequest(1, 1, emptyList(), 1, 0), term = 2)
+            replica.step(ReplicaEvent.Persisted(heard.sequence()))
+            return replica
+        }
+    }
+
     @Nested
     inner class `A replica without a vote` {
         /** Guards against learners that disturb the group. */
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/Simulation.kt
@@ -26,6 +26,7 @@
         ReplicaOptions(
             heartbeatInterval = 30.milliseconds,
             electionTimeout = 150.milliseconds,
+            promptElectionDelay = 20.milliseconds,
             maximumBatchBytes = 300,
             maximumInflightAppends = 4,
             snapshotInterval = 25,
@@ -136,11 +137,12 @@
     private fun injectReplicaFault(kind: Int, node: SimulatedNode) {
         val running = node.replica != null
         when (kind) {
-            0, 1, 2 -> if (running) note("crash", node) { node.crash() }
+            0, 1, 2 -> if (running) crash(node)
             in 3..18 -> if (!running) note("start", node) { node.start() }
             19, 20 -> note("pause", node) { node.pausedUntil = step + random.nextInt(60) }
             in 31..34 -> if (mayLoseDisk(node)) note("replace disk", node) { replaceDisk(node) }
             35, 36 -> changeMembership(node)
+            42 -> reportStopped(node)
             37 -> if (running) note("fail syncs", node) { node.files.failSyncs = true }
             39 -> crashSeveral()
         }
@@ -160,9 +162,21 @@
         }
     }
 
+    private fun crash(node: SimulatedNode) {
+        note("crash", node) { node.crash() }
+        reportStopped(node)
+    }
+
+    /** Some replicas notice that a process is gone; a report may also be late or wrong. */
+    private fun reportStopped(stopped: SimulatedNode) {
+        val observers = nodes.filter { it.replica != null && it !== stopped && random.nextBoolean() }
+        observers.forEach { it.inbox += ReplicaEvent.Stopped(stopped.instance) }
+        oracle.count("report stopped")
+    }
+
     private fun crashSeveral() {
         val chosen = nodes.filter { it.replica != null && random.nextBoolean() }
-        chosen.forEach { note("crash", it) { it.crash() } }
+        chosen.forEach(::crash)
     }
 
     private fun partition() {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -32,7 +32,7 @@
     private val self = hello.instance
     private val inbound = ConcurrentHashMap.newKeySet<LinkConnection>()
     private val machines = ConcurrentHashMap<String, InstanceName>(mapOf(machineName to self))
-    private val peers = PeerLinks(hello, Outbound(), clock)
+    private val peers = PeerLinks(hello, Outbound(), clock, onRefused = { host.reportStopped(it) })
 
     @Volatile
     private var lastMembers = ServiceMessage.Members(emptyList(), leader = null)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -17,12 +17,17 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Keeps links open to the replicas that are wanted. The name of a replica is the address of its links. */
+/**
+ * Keeps links open to the replicas that are wanted. The name of a replica is the address of its links.
+ *
+ * @param onRefused told of a replica whose machine answers while no process listens there.
+ */
 public class PeerLinks(
     private val hello: LinkMessage.Hello,
     private val handler: LinkHandler,
     private val clock: () -> Moment,
     private val random: Random = Random.Default,
+    private val onRefused: (InstanceName) -> Unit = {},
 ) : AutoCloseable {
     private val clients = ConcurrentHashMap<InstanceName, LinkClient>()
     private val open = ConcurrentHashMap<InstanceName, LinkConnection>()
@@ -73,6 +78,8 @@
 
         override suspend fun onMessage(link: LinkConnection, message: Message): Unit = handler.onMessage(link, message)
 
+        override fun onRefused() = onRefused(instance)
+
         override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
             open.remove(instance, link)
             logger.info { "event=peer-lost peer=$instance cause=\"$cause\"" }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
@@ -15,6 +15,7 @@
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Moment
 import java.io.IOException
+import java.net.ConnectException
 import kotlin.random.Random
 import kotlin.time.Duration
 
@@ -22,7 +23,7 @@
 public class LinkClient(
     private val endpoint: Endpoint,
     hello: LinkMessage.Hello,
-    handler: LinkHandler,
+    private val handler: LinkHandler,
     heartbeat: () -> HeartbeatContent,
     clock: () -> Moment,
     private val random: Random,
@@ -90,6 +91,7 @@
         withTimeoutOrNull(limits.openTimeout) { Sockets.connect(endpoint) }
     } catch (fault: IOException) {
         logger.debug { "event=connect-failed peer=$endpoint detail=\"${fault.message}\"" }
+        if (fault is ConnectException) handler.onRefused()
         null
     }
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -31,6 +31,9 @@
     /** A message other than hello and goodbye was received. Heartbeats are passed on after the link has used them. */
     public suspend fun onMessage(link: LinkConnection, message: Message)
 
+    /** An attempt to connect was refused: nobody listens at the address. */
+    public fun onRefused(): Unit = Unit
+
     /** The link closed and nothing more is received from it. */
     public fun onClosed(link: LinkConnection, cause: LinkCloseCause)
 }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
@@ -34,6 +34,11 @@
     val opened = Channel<LinkConnection>(Channel.UNLIMITED)
     val messages = Channel<Message>(Channel.UNLIMITED)
     val closed = Channel<LinkCloseCause>(Channel.UNLIMITED)
+    val refused = Channel<Unit>(Channel.UNLIMITED)
+
+    override fun onRefused() {
+        refused.trySend(Unit)
+    }
 
     override fun onOpen(link: LinkConnection) {
         opened.trySend(link)
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
@@ -72,6 +72,17 @@
             expectThat(link.send(LinkMessage.Goodbye("late"))).isFalse()
         }
 
+        /** Guards against a stopped process that is taken for a silent one. */
+        @Test
+        fun `a client reports that nobody listens`(): Unit = runBlocking {
+            val (server, endpoint) = serve()
+            server.stop("planned")
+            val handler = RecordingHandler()
+            connect(endpoint, handler)
+            handler.refused.receive()
+            expectThat(handler.opened.tryReceive().isSuccess).isFalse()
+        }
+
         @Test
         fun `a client connects again after the server restarts`(): Unit = runBlocking {
             val (server, endpoint) = serve()
