Divide the upstreams among models, load their weights side by side, and reach machines that come back sooner

Each upstream now has a home model by open work; weights load only there, those that lack most versions first, half of a model's upstreams at once. - After a power loss of all machines the leader came at 41.54 s and the entries had the configuration at 42.23 to 42.39 s: their first attempt to connect met machines without power and hung for the 1 s limit. It is 250 ms now, and the longest pause between attempts 200 ms. Ruled out: late leader (41.54 s), slow engine (p50 2.7 s), refused jobs (0).

The check for a slow upstream no longer writes the item's last upstream.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -9,6 +9,7 @@
 import org.zinniahoist.gateway.upstream.StreamEvent
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
@@ -158,6 +159,9 @@
         !record.isEnded && routes?.find(record.job.host, record.job.path)?.batch?.singleVersion == true
     }
 
+    /** Returns the expected tokens of all open items of [model]. */
+    fun openTokens(model: ModelName): Long = dispatcher.openTokens(model)
+
     /** Carries out what is due now. */
     fun tick() {
         if (!isActive) return
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -167,7 +167,7 @@
         retirements.tick(retiring(), clock())
         if (activeTerm != null) {
             engine.tick()
-            orders.tick(engine.needsSingleVersion())
+            orders.tick(engine.needsSingleVersion(), engine::openTokens)
         }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.FencingToken
 import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.policy.dispatch.LoadAction
 import org.zinniahoist.policy.dispatch.LoadMode
@@ -38,12 +39,12 @@
     /** Set while this replica leads. */
     var right: OrderRight? = null
 
-    fun tick(needsSingleVersion: Boolean) {
+    fun tick(needsSingleVersion: Boolean, openTokens: (ModelName) -> Long) {
         val held = right ?: return
         val now = clock()
         if (now < held.from) return
         val mode = if (needsSingleVersion) LoadMode.WAIT else LoadMode.KEEP
-        for (action in loader.tick(now) { mode }) {
+        for (action in loader.tick(now, openTokens) { mode }) {
             when (action) {
                 is LoadAction.ReadReport -> scope.launch { readReport(action.upstream) }
                 is LoadAction.Order -> scope.launch { order(held, action) }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -99,10 +99,12 @@
             silenceLimit = 1_500.milliseconds,
             // Half of a heartbeat interval: each check of each link wakes the process.
             checkInterval = 200.milliseconds,
+            // A connection that is asked for while the machine has no power is never answered, so it is asked for anew.
+            connectTimeout = 250.milliseconds,
             openTimeout = 1.seconds,
             sendQueueFrames = 1_024,
             maximumFrameBytes = 40 shl 20,
-            maximumBackoff = 500.milliseconds,
+            maximumBackoff = 200.milliseconds,
         )
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.policy.dispatch
 
+import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.UpstreamIdentity
@@ -46,6 +47,10 @@
     /** Runs in progress. */
     public val runningItems: Int get() = runs.size
 
+    /** Returns the expected tokens of all items of [model] that are not finished. */
+    public fun openTokens(model: ModelName): Long =
+        items.values.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
+
     /** Adds items; those that are known already are left as they are. */
     public fun submit(work: List<ItemWork>) {
         for (item in work) {
@@ -165,11 +170,17 @@
     }
 
     /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun choose(state: ItemState, now: Moment): UpstreamCard? = board
-        .usable(state.work.service, now)
-        .filter { it.inFlight < it.listed.slots && !it.isLoading && hasWeights(it, state.work.terms) }
-        .filter { it.listed.identity != state.lastUpstream || board.usable(state.work.service, now).size == 1 }
-        .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
+    private fun choose(
+        state: ItemState,
+        now: Moment,
+        avoided: UpstreamIdentity? = state.lastUpstream,
+    ): UpstreamCard? {
+        val usable = board.usable(state.work.service, now)
+        return usable
+            .filter { it.inFlight < it.listed.slots && !it.isLoading && hasWeights(it, state.work.terms) }
+            .filter { it.listed.identity != avoided || usable.size == 1 }
+            .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
+    }
 
     private fun hasWeights(card: UpstreamCard, terms: DraftTerms?): Boolean {
         if (terms == null) return true
@@ -186,7 +197,7 @@
         if (card == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
         if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
-        return waiting.isEmpty() && choose(state.also { it.lastUpstream = run.upstream }, now) != null
+        return waiting.isEmpty() && choose(state, now, avoided = run.upstream) != null
     }
 
     private fun breakOff(
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
@@ -0,0 +1,100 @@
+package org.zinniahoist.policy.dispatch
+
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Divides the upstreams among the models that they hold, in proportion to the work that is open for each.
+ *
+ * New weights of a model are loaded only on its own upstreams. Loading every version of every model everywhere would
+ * keep the upstreams loading most of the time when several trainers share them.
+ */
+internal class ModelHomes(private val board: UpstreamBoard) {
+    private val homes = HashMap<UpstreamIdentity, ModelName>()
+    private val demand = HashMap<ModelName, Double>()
+    private var observedAt: Moment? = null
+
+    /** Returns true if new weights of [model] belong on [card]. */
+    fun isHome(card: UpstreamCard, model: ModelName): Boolean = homes[card.listed.identity] == model
+
+    /** Upstreams that have a model. */
+    val total: Int get() = homes.size
+
+    /** Returns the number of upstreams of [model]. */
+    fun count(model: ModelName): Int = homes.values.count { it == model }
+
+    /** Notes the work that is open at [now], in tokens. */
+    fun observe(models: Set<ModelName>, openTokens: (ModelName) -> Long, now: Moment) {
+        val past = observedAt?.let { now - it } ?: Duration.INFINITE
+        observedAt = now
+        val gain = 1 - exp(-(past / AVERAGING_TIME))
+        for (model in models) {
+            val known = demand[model] ?: 0.0
+            demand[model] = known + gain * (openTokens(model) - known)
+        }
+    }
+
+    /** Gives each upstream a model, and moves one upstream at most to a model that has too few. */
+    fun assign(targets: Map<ModelName, WeightVersion>) {
+        val holders = board.all.filter { card -> !card.listed.isLeaving && targets.keys.any { card.version(it) != null } }
+        val present = holders.mapTo(HashSet()) { it.listed.identity }
+        homes.entries.removeIf { it.key !in present || it.value !in targets }
+        val shares = shares(targets.keys, holders.size)
+        for (card in holders) {
+            if (card.listed.identity !in homes) chooseHome(card, targets, shares)
+        }
+        if (targets.size > 1) rebalance(holders, shares)
+    }
+
+    private fun shares(models: Set<ModelName>, upstreams: Int): Map<ModelName, Double> {
+        val total = models.sumOf { (demand[it] ?: 0.0) + LEAST_DEMAND }
+        return models.associateWith { upstreams * ((demand[it] ?: 0.0) + LEAST_DEMAND) / total }
+    }
+
+    /** A model that lacks upstreams goes first; among these the one whose weights on the upstream are newest. */
+    private fun chooseHome(
+        card: UpstreamCard,
+        targets: Map<ModelName, WeightVersion>,
+        shares: Map<ModelName, Double>,
+    ) {
+        val home = targets.keys.filter { card.version(it) != null }.minWithOrNull(
+            compareBy<ModelName>(
+                { count(it) >= shares.getValue(it) },
+                { versionsBehind(card, it, targets.getValue(it)) },
+                { count(it) / shares.getValue(it) },
+            ),
+        )
+        if (home != null) homes[card.listed.identity] = home
+    }
+
+    private fun rebalance(holders: List<UpstreamCard>, shares: Map<ModelName, Double>) {
+        val excess = shares.keys.associateWith { count(it) - shares.getValue(it) }
+        val giver = excess.maxBy { it.value }
+        val taker = excess.minBy { it.value }
+        if (giver.value < REBALANCE_EXCESS || taker.value > -REBALANCE_EXCESS) return
+        val moved = holders
+            .filter { isHome(it, giver.key) && !it.isLoading && it.version(taker.key) != null }
+            .minByOrNull { it.inFlight } ?: return
+        homes[moved.listed.identity] = taker.key
+    }
+
+    internal companion object {
+        /** Several steps of a trainer, so that the pauses between them move no upstream. */
+        private val AVERAGING_TIME = 10.seconds
+
+        /** Tokens; keeps a share for a model that has no work at the moment. */
+        private const val LEAST_DEMAND = 200.0
+
+        /** Upstreams; a smaller imbalance is not worth another load. */
+        private const val REBALANCE_EXCESS = 1.0
+
+        /** Returns the number of versions that [card] lacks up to [target]. */
+        fun versionsBehind(card: UpstreamCard, model: ModelName, target: WeightVersion): Long =
+            target.number - (card.version(model) ?: target).number
+    }
+}
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -45,7 +45,8 @@
 }
 
 /**
- * Brings all upstreams of a model to its newest named weights, a few at a time and the idlest first.
+ * Brings the upstreams of each model to its newest named weights, a few at a time: first those that lack most versions,
+ * among these the idlest.
  *
  * Each order names the number of orders accepted before, so that one that is carried out late has no effect.
  */
@@ -55,6 +56,7 @@
 ) {
     private val targets = LinkedHashMap<ModelName, WeightVersion>()
     private val loads = LinkedHashMap<UpstreamIdentity, Load>()
+    private val homes = ModelHomes(board)
 
     /** Names the newest weights of [model]. */
     public fun onNamed(model: ModelName, version: WeightVersion) {
@@ -68,27 +70,46 @@
         board.all.forEach { it.isLoading = false }
     }
 
-    /** Returns what to do at [now]. [modeOf] says how the runs of a model are treated. */
-    public fun tick(now: Moment, modeOf: (ModelName) -> LoadMode): List<LoadAction> {
+    /**
+     * Returns what to do at [now].
+     *
+     * @param openTokens open work of a model, by which the upstreams are divided among several models.
+     * @param modeOf how the runs of a model are treated.
+     */
+    public fun tick(
+        now: Moment,
+        openTokens: (ModelName) -> Long = { 0 },
+        modeOf: (ModelName) -> LoadMode,
+    ): List<LoadAction> {
         loads.keys.filter { board.card(it) == null }.forEach { loads.remove(it) }
-        val actions = loads.values.mapNotNull { advance(it, now, modeOf) }.toMutableList<LoadAction>()
-        for ((model, version) in targets) actions += begin(model, version, now)
-        return actions
+        homes.observe(targets.keys, openTokens, now)
+        homes.assign(targets)
+        val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
+        return actions + begin(now)
     }
 
-    private fun begin(model: ModelName, version: WeightVersion, now: Moment): List<LoadAction> {
-        val holders = board.all.filter { it.version(model) != null && !it.listed.isLeaving }
-        val room = (holders.size * SHARE_AT_ONCE).toInt().coerceAtLeast(LEAST_AT_ONCE) - loads.size
-        val behind = holders
-            .filter { it.listed.identity !in loads && (it.version(model) ?: version) < version }
-            .filter { !board.isSuspended(it, now) }
-            .sortedBy { it.inFlight }
-        return behind.take(room.coerceAtLeast(0)).map { card ->
-            loads[card.listed.identity] = Load(card, model, version, askedAt = now)
-            LoadAction.ReadReport(card.listed)
+    private fun begin(now: Moment): List<LoadAction> {
+        val candidates = targets.flatMap { (model, version) -> candidates(model, version, now) }
+            .sortedWith(compareBy({ -it.behind }, { it.card.inFlight }))
+        val actions = ArrayList<LoadAction>()
+        for (candidate in candidates) {
+            if (loads.size >= limitOf(homes.total, SHARE_AT_ONCE)) break
+            val others = loads.values.count { it.model == candidate.model }
+            if (others >= limitOf(homes.count(candidate.model), SHARE_OF_MODEL_AT_ONCE)) continue
+            val upstream = candidate.card.listed
+            loads[upstream.identity] = Load(candidate.card, candidate.model, candidate.version, askedAt = now)
+            actions += LoadAction.ReadReport(upstream)
         }
+        return actions
     }
 
+    private fun limitOf(upstreams: Int, share: Double): Int = (upstreams * share).toInt().coerceAtLeast(LEAST_AT_ONCE)
+
+    private fun candidates(model: ModelName, version: WeightVersion, now: Moment): List<Candidate> = board.all
+        .filter { homes.isHome(it, model) && it.listed.identity !in loads && !board.isSuspended(it, now) }
+        .map { Candidate(it, model, version, ModelHomes.versionsBehind(it, model, version)) }
+        .filter { it.behind > 0 }
+
     private fun advance(load: Load, now: Moment, modeOf: (ModelName) -> LoadMode): LoadAction? {
         val report = load.report
         val orderedAt = load.orderedAt
@@ -163,6 +184,13 @@
         board.onFailure(load.card.listed.identity, now)
     }
 
+    private class Candidate(
+        val card: UpstreamCard,
+        val model: ModelName,
+        val version: WeightVersion,
+        val behind: Long,
+    )
+
     private class Load(
         val card: UpstreamCard,
         val model: ModelName,
@@ -197,6 +225,9 @@
 
         /** Share of the upstreams that the weight store serves without slowing down. */
         const val SHARE_AT_ONCE = 0.3
+
+        /** The other half of a model's upstreams goes on working. */
+        const val SHARE_OF_MODEL_AT_ONCE = 0.5
         const val LEAST_AT_ONCE = 2
     }
 }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
@@ -25,14 +25,14 @@
     private val board = UpstreamBoard()
     private val loader = WeightLoader(board)
 
-    private fun upstream(name: String) = ListedUpstream(
+    private fun upstream(name: String, models: List<ModelName> = listOf(model)) = ListedUpstream(
         identity = UpstreamIdentity(name),
         service = ServiceName("drafts"),
         endpoint = Endpoint("127.0.0.1", 80),
         failureDomain = "a",
         slots = 4,
         isLeaving = false,
-        versions = mapOf(model to WeightVersion(1)),
+        versions = models.associateWith { WeightVersion(1) },
     )
 
     private fun report(version: Long, orders: Long, isBusy: Boolean = false) =
@@ -98,4 +98,58 @@
         loader.onReport(UpstreamIdentity("a"), report(version = 1, orders = 3), start + 100.milliseconds)
         expectThat(tick(start + 100.milliseconds).filterIsInstance<LoadAction.Order>()).isEmpty()
     }
+
+    /**
+     * Guards against the load of several trainers on shared upstreams: the loads of the first model took all places, the
+     * others waited for their weights until their steps had run out.
+     */
+    @Test
+    fun `several models load side by side, each on its own upstreams`() {
+        val models = (1..4).map { ModelName("m$it") }
+        board.relist((1..32).map { upstream("u$it", models) })
+        models.forEach { loader.onNamed(it, WeightVersion(2)) }
+        var now = start
+        val loaded = HashMap<ModelName, HashSet<UpstreamIdentity>>()
+        repeat(100) {
+            now += 100.milliseconds
+            val actions = tick(now)
+            for (action in actions) follow(action, loaded, now)
+        }
+        expectThat(loaded.mapValues { it.value.size }).isEqualTo(models.associateWith { 8 })
+    }
+
+    /** Guards against equal shares for unequal work: the trainer with most work would wait for its few upstreams. */
+    @Test
+    fun `a model with more open work gets more upstreams`() {
+        val busy = ModelName("busy")
+        val calm = ModelName("calm")
+        board.relist((1..8).map { upstream("u$it", listOf(busy, calm)) })
+        listOf(busy, calm).forEach { loader.onNamed(it, WeightVersion(2)) }
+        var now = start
+        val loaded = HashMap<ModelName, HashSet<UpstreamIdentity>>()
+        repeat(100) {
+            now += 100.milliseconds
+            val actions = loader.tick(now, { if (it == busy) 30_000 else 10_000 }) { LoadMode.KEEP }
+            for (action in actions) follow(action, loaded, now)
+        }
+        expectThat(loaded.mapValues { it.value.size }).isEqualTo(mapOf(busy to 6, calm to 2))
+    }
+
+    /** Answers [action] as an upstream does that loads at once. */
+    private fun follow(action: LoadAction, loaded: HashMap<ModelName, HashSet<UpstreamIdentity>>, now: Moment) {
+        when (action) {
+            is LoadAction.ReadReport -> {
+                val identity = action.upstream.identity
+                val versions = action.upstream.versions.mapValues { (model, version) ->
+                    if (identity in loaded[model].orEmpty()) WeightVersion(2) else version
+                }
+                loader.onReport(identity, UpstreamReport(versions, isBusy = false, acceptedOrders = 0), now)
+            }
+
+            is LoadAction.Order -> {
+                loaded.getOrPut(action.model) { HashSet() } += action.upstream.identity
+                loader.onOrderAnswer(action.upstream.identity, OrderAnswer.ACCEPTED, now)
+            }
+        }
+    }
 }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
@@ -88,7 +88,7 @@
     }
 
     private suspend fun connect(): Socket? = try {
-        withTimeoutOrNull(limits.openTimeout) { Sockets.connect(endpoint) }
+        withTimeoutOrNull(limits.connectTimeout) { Sockets.connect(endpoint) }
     } catch (fault: IOException) {
         logger.debug { "event=connect-failed peer=$endpoint detail=\"${fault.message}\"" }
         if (fault is ConnectException) handler.onRefused()
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -12,7 +12,9 @@
     public val silenceLimit: Duration = 2_500.milliseconds,
     /** Time between two checks for silence; a silent link is noticed this much later at most. */
     public val checkInterval: Duration = 50.milliseconds,
-    /** Time in which a connection must be open and both sides must have said hello. */
+    /** Time in which a connection must be open; a machine without power answers nothing, and is asked again. */
+    public val connectTimeout: Duration = 2.seconds,
+    /** Time in which both sides of an open connection must have said hello. */
     public val openTimeout: Duration = 2.seconds,
     /** Time in which queued frames and the goodbye must be written when a link is closed. */
     public val closeTimeout: Duration = 1.seconds,
