--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -32,7 +32,7 @@
         deadline = context.now + context.random.nextLong(shortest, 2 * shortest).nanoseconds
     }
 
-    /** Campaigns soon, for a while: a leader that lives after all is heard by others, which then refuse the pre-vote. */
+    /** Campaigns soon, for a while. If a leader lives after all, those that hear it refuse the pre-vote. */
     fun expectNoLeader() {
         promptUntil = context.now + context.options.electionTimeout
         setPromptDeadline()
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/DiskFileStoreTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/DiskFileStoreTest.kt
@@ -12,7 +12,7 @@
 import java.nio.file.Path
 
 class DiskFileStoreTest {
-    /** Guards against a refused lock whose cause is lost, so that an operator looks for a process that doesn't exist. */
+    /** Guards against a refused lock whose cause is lost, so that an operator looks for a process in vain. */
     @Test
     fun `a lock that this process holds is refused with its cause`(@TempDir folder: Path) {
         val first = DiskFileStore(folder)
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/entry/LiveCallersTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/entry/LiveCallersTest.kt
@@ -3,52 +3,21 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.jsonPrimitive
-import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
-import org.zinniahoist.model.FailureReason
 import org.zinniahoist.model.RefusalReason
 import org.zinniahoist.model.Verdict
 import org.zinniahoist.wire.AttemptMessage
 import org.zinniahoist.wire.LinkConnection
 import strikt.api.expectThat
-import strikt.assertions.contains
-import strikt.assertions.endsWith
 import strikt.assertions.isEqualTo
-import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThan
 import strikt.assertions.isNotEqualTo
-import strikt.assertions.isNull
-import java.net.http.HttpResponse
 import java.util.concurrent.atomic.AtomicInteger
 
-class LiveCallersTest {
-    private val fixture = EntryFixture()
-
-    @AfterEach
-    fun close() = fixture.close()
-
-    private val whole: suspend FakeSidecar.(LinkConnection, AttemptMessage.StartAttempt) -> Unit = { link, start ->
-        link.chunk(start, 0, "whole ")
-        link.chunk(start, 1, "answer")
-        link.end(start, 2)
-    }
-
-    private suspend fun EntryFixture.ready(vararg sidecars: FakeSidecar): Entry {
-        val entry = entry("e1", *sidecars)
-        until { "\"m\"" in call(entry, "GET", "/v1/models").body() || sidecars.isEmpty() }
-        until { complete(entry).statusCode() != 503 || sidecars.isEmpty() }
-        return entry
-    }
-
-    private fun HttpResponse<String>.verdict() = json["verdict"]?.jsonPrimitive?.content
-
-    private fun HttpResponse<String>.reason() =
-        if (body().startsWith("{")) json["reason"]?.jsonPrimitive?.content else null
-
+internal class LiveCallersTest : LiveScenario() {
     @Nested
     inner class WholeAnswers {
         @Test
@@ -141,77 +110,6 @@
         private val fixtureStarts = AtomicInteger()
     }
 
-    @Nested
-    inner class Streams {
-        @Test
-        fun `a stream ends with DONE and its events are those of the engine`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                repeat(100) {
-                    awaitCredit(start)
-                    link.chunk(start, it, token("$it", 3), 3)
-                }
-                link.end(start, 100)
-            }
-            val answer = fixture.complete(fixture.ready(sidecar), stream = true)
-            val expected = (0 until 100).joinToString("") { "data: ${token("$it", 3)}\n\n" } + "data: [DONE]\n\n"
-            expectThat(answer.body()).isEqualTo(expected)
-        }
-
-        @Test
-        fun `a broken stream goes on where it stopped`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                val resumed = "\"resume_tokens\":1" in start.call.body.decodeToString()
-                link.chunk(start, 0, token(if (resumed) "b" else "a", 3), 3)
-                val crash = Verdict.MayHaveRun(FailureReason.UPSTREAM_CRASHED)
-                link.end(start, 1, if (resumed) Verdict.Completed else crash)
-            }
-            val answer = fixture.complete(fixture.ready(sidecar), stream = true)
-            val events = listOf(token("a", 3), token("b", 3), "[DONE]").joinToString("") { "data: $it\n\n" }
-            expectThat(answer.body()).isEqualTo(events)
-        }
-
-        @Test
-        fun `a broken stream that must run once ends with an error and no DONE`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                link.chunk(start, 0, token("a", 3), 3)
-                link.end(start, 1, Verdict.MayHaveRun(FailureReason.UPSTREAM_CRASHED))
-            }
-            val answer = fixture.complete(fixture.ready(sidecar), stream = true, "Idempotency-Key" to "k")
-            expectThat(answer.body()).contains("event: error\ndata: {").contains("\"verdict\":\"may-have-run\"")
-            expectThat("[DONE]" in answer.body()).isFalse()
-        }
-
-        @Test
-        fun `an engine's refusal keeps its status`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                link.chunk(start, 0, "{\"error\":\"too long\"}")
-                link.end(start, 1, status = 400)
-            }
-            val answer = fixture.complete(fixture.ready(sidecar), stream = true)
-            expectThat(answer.statusCode() to answer.body()).isEqualTo(400 to "{\"error\":\"too long\"}")
-        }
-
-        @Test
-        fun `a caller that disconnects cancels its attempt`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                if ("\"stream\":true" in start.call.body.decodeToString()) {
-                    link.chunk(start, 0, token("a", 3), 3)
-                } else {
-                    whole(link, start)
-                }
-            }
-            val entry = fixture.ready(sidecar)
-            java.net.Socket(entry.httpEndpoint.host, entry.httpEndpoint.port).use { socket ->
-                val body = """{"model":"m","prompt":"p","stream":true}"""
-                val head = "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer token-shop\r\n" +
-                    "Content-Length: ${body.length}\r\n\r\n"
-                socket.getOutputStream().write((head + body).toByteArray())
-                socket.getInputStream().read()
-            }
-            sidecar.cancels.receive()
-        }
-    }
-
     @Nested
     inner class Refusals {
         @ParameterizedTest
@@ -284,37 +182,4 @@
             expectThat(fixture.call(entry, "GET", "/health/live").statusCode()).isEqualTo(200)
         }
     }
-
-    @Nested
-    inner class Leaving {
-        @Test
-        fun `a draining sidecar gets no new work`(): Unit = runBlocking {
-            val sidecar = FakeSidecar("s", ::engine, whole)
-            val entry = fixture.ready(sidecar)
-            sidecar.draining = true
-            until { fixture.complete(entry).reason() == "NO_UPSTREAM" }
-        }
-
-        @Test
-        fun `a draining entry finishes what it has and refuses the rest`(): Unit = runBlocking {
-            val gate = CompletableDeferred<Unit>()
-            val sidecar = FakeSidecar("s", ::engine) { link, start ->
-                if ("\"stream\":true" in start.call.body.decodeToString()) gate.await()
-                link.chunk(start, 0, token("a", 3), 3)
-                link.end(start, 1)
-            }
-            val entry = fixture.ready(sidecar)
-            val running = async { fixture.complete(entry, stream = true) }
-            until { "\"stream\":true" in sidecar.starts.receive().call.body.decodeToString() }
-            val drained = async { entry.drain() }
-            until { fixture.call(entry, "GET", "/health/ready").statusCode() == 503 }
-            val refused = fixture.complete(entry)
-            expectThat(refused.statusCode() to refused.reason()).isEqualTo(503 to "DRAINING")
-            expectThat(refused.headers().firstValue("Retry-After").get()).isEqualTo("1")
-            gate.complete(Unit)
-            expectThat(running.await().body()).endsWith("data: [DONE]\n\n")
-            drained.await()
-            expectThat(sidecar.cancels.tryReceive().getOrNull()).isNull()
-        }
-    }
 }
--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/entry/TrainersTest.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/entry/TrainersTest.kt
@@ -1,85 +1,26 @@
 package org.zinniahoist.daemon.entry
 
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
-import kotlinx.serialization.json.JsonObject
-import kotlinx.serialization.json.int
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import kotlinx.serialization.json.long
-import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.zinniahoist.model.FailureReason
-import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Verdict
 import org.zinniahoist.wire.AttemptMessage
-import org.zinniahoist.wire.LinkConnection
 import strikt.api.expectThat
 import strikt.assertions.all
 import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
-import strikt.assertions.isNotEqualTo
 import java.net.http.HttpResponse
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
-
-private const val STEP = """{"groups":[{"prompt":"p","samples":3,"maximum_tokens":16}]}"""
-
-class TrainersTest {
-    private val fixture = EntryFixture()
-    private val version = AtomicLong(5)
-
-    @AfterEach
-    fun close() = fixture.close()
-
-    private val draft: suspend FakeSidecar.(LinkConnection, AttemptMessage.StartAttempt) -> Unit = { link, start ->
-        repeat(2) { link.chunk(start, it, token("x$it", version.get()), version.get()) }
-        link.end(start, 2)
-    }
-
-    private suspend fun submit(entry: Entry, step: Int = 1, body: String = STEP) =
-        fixture.call(entry, "PUT", "/v1/trainers/t/steps/$step", body, "token-t").statusCode()
-
-    private suspend fun fetch(entry: Entry, query: String = "wait_ms=60000", trainer: String = "t") =
-        fixture.call(entry, "GET", "/v1/trainers/$trainer/samples?$query", token = "token-$trainer")
-
-    private fun HttpResponse<String>.samples() = json["samples"]!!.jsonArray.map { it.jsonObject }
-
-    private fun HttpResponse<String>.text(name: String) = json[name]!!.jsonPrimitive.content
-
-    private fun JsonObject.text(name: String) = getValue(name).jsonPrimitive.content
-
-    private suspend fun acknowledge(entry: Entry, samples: List<String>, trainer: String = "t") = fixture.call(
-        entry,
-        "POST",
-        "/v1/trainers/$trainer/acknowledgements",
-        """{"samples":[${samples.joinToString(",") { "\"$it\"" }}]}""",
-        "token-$trainer",
-    )
-
-    private suspend fun announce(entry: Entry, number: Long) =
-        fixture.call(entry, "PUT", "/v1/trainers/t/version", """{"version":$number}""", "token-t").statusCode()
-
-    /** Fetches and acknowledges until the step is done and returns each sample that was received. */
-    private suspend fun collect(entry: Entry): List<JsonObject> = buildList {
-        var cursor = ""
-        while (true) {
-            val answer = fetch(entry, "wait_ms=60000&cursor=$cursor")
-            if (answer.statusCode() != 200) continue
-            val samples = answer.samples()
-            addAll(samples)
-            if (samples.isNotEmpty()) acknowledge(entry, samples.map { it.text("identifier") })
-            if (answer.text("remaining").toInt() == samples.size) return@buildList
-            cursor = answer.text("cursor")
-        }
-    }
 
+internal class TrainersTest : TrainerScenario() {
     @Nested
     inner class Delivery {
         @Test
@@ -165,70 +106,6 @@
         }
     }
 
-    @Nested
-    inner class Holders {
-        @Test
-        fun `another entry takes over from a dead holder and each sample counts once`(): Unit = runBlocking {
-            val first = fixture.entry("e1", FakeSidecar("s", ::engine, draft))
-            submit(first)
-            until { fetch(first).samples().size == 3 }
-            val old = fetch(first)
-            acknowledge(first, listOf("t/1/0/1"))
-            first.close()
-            val second = fixture.entry("e2", FakeSidecar("s2", ::engine, draft))
-            fixture.control.time.addAndGet(10_001)
-            val cursor = old.text("cursor")
-            until {
-                fetch(second, "wait_ms=60000&cursor=$cursor").let { it.statusCode() == 200 && it.samples().size == 2 }
-            }
-            val samples = collect(second)
-            expectThat(samples.map { it.text("identifier") }.sorted()).isEqualTo(listOf("t/1/0/0", "t/1/0/2"))
-            expectThat(samples.first().text("attempt")).isNotEqualTo(old.samples().first().text("attempt"))
-        }
-
-        @Test
-        fun `an entry forwards to the holder`(): Unit = runBlocking {
-            val first = fixture.entry("e1", FakeSidecar("s", ::engine, draft))
-            submit(first)
-            until { fetch(first).samples().size == 3 }
-            val second = fixture.entry("e2", entries = mapOf(InstanceName("e1") to first.linkEndpoint!!))
-            until { fetch(second).statusCode() == 200 }
-            expectThat(fetch(second).body()).isEqualTo(fetch(first).body())
-            expectThat(submit(second, step = 2)).isEqualTo(201)
-            until { fetch(second).samples().size == 6 }
-        }
-
-        @Test
-        fun `a paused holder that lost its lease delivers nothing`(): Unit = runBlocking {
-            val first = fixture.entry("e1", FakeSidecar("s", ::engine, draft))
-            submit(first)
-            until { fetch(first).samples().size == 3 }
-            val second = fixture.entry("e2", FakeSidecar("s2", ::engine, draft))
-            // The first entry renews every 3 s, so the step in time may need to be repeated.
-            until {
-                fixture.control.time.addAndGet(10_001)
-                fetch(second).statusCode() == 200
-            }
-            expectThat(fetch(first).statusCode()).isEqualTo(503)
-        }
-
-        @Test
-        fun `a draining holder hands over and gives the lease back`(): Unit = runBlocking {
-            val first = fixture.entry("e1", FakeSidecar("s", ::engine, draft))
-            submit(first)
-            until { fetch(first).samples().size == 3 }
-            val drained = async { first.drain() }
-            until { fixture.call(first, "GET", "/health/ready").statusCode() == 503 }
-            val samples = fetch(first).samples().map { it.text("identifier") }
-            acknowledge(first, samples.take(2))
-            acknowledge(first, samples.drop(2))
-            drained.await()
-            val second = fixture.entry("e2", FakeSidecar("s2", ::engine, draft))
-            submit(second, step = 2)
-            expectThat(collect(second)).hasSize(3)
-        }
-    }
-
     @Nested
     inner class Refusals {
         @Test
@@ -288,29 +165,4 @@
                 expectThat(answer.text("verdict")).isEqualTo("not-run")
             }
     }
-
-    @Nested
-    inner class Duplicates {
-        @Test
-        fun `of two attempts of one sample one counts`(): Unit = runBlocking {
-            val gate = CompletableDeferred<Unit>()
-            val slow = FakeSidecar("s", ::engine) { link, start ->
-                gate.await()
-                draft(link, start)
-            }
-            val first = fixture.entry("e1", slow)
-            submit(first, body = STEP.replace("3", "1"))
-            slow.starts.receive()
-            val second = fixture.entry("e2", FakeSidecar("s2", ::engine, draft))
-            until {
-                fixture.control.time.addAndGet(10_001)
-                fetch(second).let { it.statusCode() == 200 && it.samples().size == 1 }
-            }
-            val counted = fetch(second).samples().single().text("attempt")
-            gate.complete(Unit)
-            until { fetch(first).statusCode() == 503 }
-            expectThat(fetch(second).samples().single().text("attempt")).isEqualTo(counted)
-            expectThat(collect(second).single()["tokens"]!!.jsonPrimitive.int).isEqualTo(2)
-        }
-    }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/link/PeerLinksTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/link/PeerLinksTest.kt
@@ -6,7 +6,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 class PeerLinksTest {
-    /** Guards against entries that find their cores a second late, because their first attempt met machines without power. */
+    /** Guards against entries that find their cores late because their first attempt met machines without power. */
     @Test
     fun `a machine that comes back is found within half a second`() {
         val limits = PeerLinks.LIMITS
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -170,11 +170,7 @@
     }
 
     /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun choose(
-        state: ItemState,
-        now: Moment,
-        avoided: UpstreamIdentity? = state.lastUpstream,
-    ): UpstreamCard? {
+    private fun choose(state: ItemState, now: Moment, avoided: UpstreamIdentity? = state.lastUpstream): UpstreamCard? {
         val usable = board.usable(state.work.service, now)
         return usable
             .filter { it.inFlight < it.listed.slots && !it.isLoading && hasWeights(it, state.work.terms) }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
@@ -41,7 +41,9 @@
 
     /** Gives each upstream a model, and moves one upstream at most to a model that has too few. */
     fun assign(targets: Map<ModelName, WeightVersion>) {
-        val holders = board.all.filter { card -> !card.listed.isLeaving && targets.keys.any { card.version(it) != null } }
+        val holders = board.all.filter { card ->
+            !card.listed.isLeaving && targets.keys.any { card.version(it) != null }
+        }
         val present = holders.mapTo(HashSet()) { it.listed.identity }
         homes.entries.removeIf { it.key !in present || it.value !in targets }
         val shares = shares(targets.keys, holders.size)
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
@@ -100,8 +100,8 @@
     }
 
     /**
-     * Guards against the load of several trainers on shared upstreams: the loads of the first model took all places, the
-     * others waited for their weights until their steps had run out.
+     * Guards against the load of several trainers on shared upstreams: the loads of the first model took all places,
+     * the others waited for their weights until their steps had run out.
      */
     @Test
     fun `several models load side by side, each on its own upstreams`() {
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkClient.kt
@@ -89,9 +89,12 @@
 
     private suspend fun connect(): Socket? = try {
         withTimeoutOrNull(limits.connectTimeout) { Sockets.connect(endpoint) }
+    } catch (fault: ConnectException) {
+        logger.debug { "event=connect-refused peer=$endpoint detail=\"${fault.message}\"" }
+        handler.onRefused()
+        null
     } catch (fault: IOException) {
         logger.debug { "event=connect-failed peer=$endpoint detail=\"${fault.message}\"" }
-        if (fault is ConnectException) handler.onRefused()
         null
     }
 
