Forward streams by a class of its own, with the deadline kept, and divide upstreams among all models they hold

Cause (streams): EntryHttp awaited the head of a stream without a limit, so a silent upstream held its client past the deadline and went on working, a success without the upstream's stamp was passed on, and connection headers were copied. StreamForwarder judges the head as Forwarder does, asks another upstream only after a refusal, and breaks the stream off at the deadline. Forwarder and StreamForwarder share the choice of upstreams (UpstreamChooser) and the filter of connection headers.

All models that the upstreams hold count now; with one model nothing changes.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -21,13 +21,11 @@
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.model.Moment
-import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.policy.routes.RefusalCause
 import org.zinniahoist.policy.routes.ReturnAdvice
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.policy.routes.RouteTable
-import org.zinniahoist.policy.routes.drawService
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import java.util.Locale
@@ -49,6 +47,7 @@
 ) : HttpService {
     private val names = dialect.headers
     private val forwarder = Forwarder(names, calls, directory, clock)
+    private val streams = StreamForwarder(names, calls, directory, scope, clock, random)
     private val inFlight = AtomicInteger()
 
     /** The routes in force, or null before they are known. */
@@ -115,12 +114,10 @@
         arrival: Moment,
         known: RouteTable,
     ): HttpResponse {
-        val identifier = request.headers().get(names.requestIdentifier)
-        val budget = Forwarder.budget(request.headers().get(names.remainingMilliseconds), route.timeout)
-        val forwarded =
-            forwarder.forward(ForwardedRequest(request.headers(), body, identifier, route, arrival + budget))
+        val forwardedRequest = forwardedRequest(request, body, route, arrival)
+        val forwarded = forwarder.forward(forwardedRequest)
         logger.info {
-            "event=request request=$identifier route=${route.name} revision=${known.revision} " +
+            "event=request request=${forwardedRequest.identifier} route=${route.name} revision=${known.revision} " +
                 "outcome=${describe(forwarded)} milliseconds=${(clock() - arrival).inWholeMilliseconds}"
         }
         return when (forwarded) {
@@ -136,50 +133,29 @@
         is Forwarded.NoAnswer -> "no-answer reason=\"${forwarded.reason}\""
     }
 
-    private fun passOn(answer: WholeAnswer): HttpResponse {
-        val builder = ResponseHeaders.builder(answer.headers.status())
-        for ((name, value) in answer.headers) {
-            if (!name.startsWith(":") && !Forwarder.isHopHeader(name.toString())) builder.add(name, value)
-        }
-        return HttpResponse.of(builder.build(), HttpData.wrap(answer.body))
-    }
+    private fun passOn(answer: WholeAnswer): HttpResponse =
+        HttpResponse.of(Forwarder.passedHeaders(answer.headers), HttpData.wrap(answer.body))
 
-    /** Passes a stream on as it arrives. The request is sent to another upstream only if the first did not run it. */
     private suspend fun stream(
         request: HttpRequest,
         body: ByteArray,
         route: Route,
         arrival: Moment,
-    ): HttpResponse {
-        val identifier = request.headers().get(names.requestIdentifier)
-        val service = route.drawService(random)
-        val used = HashSet<UpstreamIdentity>()
-        repeat(route.maximumAttempts) {
-            val upstream =
-                directory.choose(service, used)
-                    ?: return refusal(request, RefusalCause.NO_UPSTREAM, "no upstream of $service")
-            used += upstream.identity
-            val budget = Forwarder.budget(request.headers().get(names.remainingMilliseconds), route.timeout)
-            val headers = Forwarder.forwardedHeaders(request.headers())
-                .set(names.expectedUpstream, upstream.identity.value)
-                .set(names.remainingMilliseconds, (arrival + budget - clock()).inWholeMilliseconds.toString())
-                .build()
-            val response = calls.open(upstream.endpoint, headers, body)
-            val split = response.split()
-            val head = split.headers().await()
-            val isForeign = head.get(names.requestIdentifier) != identifier
-            directory.onEnded(upstream.identity, clock() - arrival, !isForeign)
-            logger.info {
-                "event=stream request=$identifier upstream=${upstream.identity} status=${head.status().code()}"
-            }
-            if (isForeign || head.contains(names.notRun)) {
-                response.abort()
-                if (isForeign) return HttpResponse.of(HttpStatus.BAD_GATEWAY)
-            } else {
-                return HttpResponse.of(head, split.body())
-            }
-        }
-        return refusal(request, RefusalCause.NO_UPSTREAM, "refused by ${used.size} upstreams")
+    ): HttpResponse = when (val stream = streams.forward(forwardedRequest(request, body, route, arrival))) {
+        is ForwardedStream.Begun -> stream.response
+        is ForwardedStream.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, stream.reason)
+        is ForwardedStream.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+    }
+
+    private fun forwardedRequest(
+        request: HttpRequest,
+        body: ByteArray,
+        route: Route,
+        arrival: Moment,
+    ): ForwardedRequest {
+        val headers = request.headers()
+        val budget = Forwarder.budget(headers.get(names.remainingMilliseconds), route.timeout)
+        return ForwardedRequest(headers, body, headers.get(names.requestIdentifier), route, arrival + budget)
     }
 
     private suspend fun submit(
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.RequestHeadersBuilder
+import com.linecorp.armeria.common.ResponseHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
@@ -49,7 +50,7 @@
 internal class Forwarder(
     private val names: HeaderNames,
     private val calls: UpstreamCalls,
-    private val directory: UpstreamDirectory,
+    private val upstreams: UpstreamChooser,
     private val clock: () -> Moment,
     private val random: Random = Random.Default,
 ) {
@@ -132,7 +133,7 @@
             return Forwarded.NotRun("refused by ${used.size} upstreams")
         }
 
-        private fun next(): ListedUpstream? = directory.choose(service, used)?.also { used += it.identity }
+        private fun next(): ListedUpstream? = upstreams.choose(service, used)?.also { used += it.identity }
 
         private suspend fun attempt(upstream: ListedUpstream, number: Int): Outcome {
             val start = clock()
@@ -154,7 +155,7 @@
                 }
                 return if (UpstreamCalls.isUnsent(failure)) Outcome.NotRun else Outcome.Lost(cause)
             } finally {
-                directory.onEnded(upstream.identity, clock() - start, isSound)
+                upstreams.onEnded(upstream.identity, clock() - start, isSound)
             }
         }
 
@@ -209,8 +210,14 @@
             return builder
         }
 
-        /** Returns true if [name] concerns one connection only. */
-        fun isHopHeader(name: String): Boolean = name in HOP_HEADERS
+        /** Returns the headers of an answer without those that concern one connection only. */
+        fun passedHeaders(headers: ResponseHeaders): ResponseHeaders {
+            val builder = ResponseHeaders.builder(headers.status())
+            for ((name, value) in headers) {
+                if (!name.startsWith(":") && name.toString() !in HOP_HEADERS) builder.add(name, value)
+            }
+            return builder.build()
+        }
 
         /** Time until [request]'s client stops to wait, at most [limit]. */
         fun budget(remainingMilliseconds: String?, limit: Duration): Duration {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
@@ -19,7 +19,7 @@
     private val chooser: ReplicaChooser,
     private val reader: ListReader,
     private val clock: () -> Moment,
-) {
+) : UpstreamChooser {
     @Volatile
     private var refreshedAt: Moment? = null
 
@@ -38,14 +38,14 @@
     }
 
     @Synchronized
-    fun choose(service: ServiceName, excluded: Set<UpstreamIdentity>): ListedUpstream? {
+    override fun choose(service: ServiceName, excluded: Set<UpstreamIdentity>): ListedUpstream? {
         val chosen = chooser.choose(service, excluded, clock())
         chosen?.let { chooser.onSent(it.identity) }
         return chosen
     }
 
     @Synchronized
-    fun onEnded(upstream: UpstreamIdentity, latency: Duration, isSound: Boolean) =
+    override fun onEnded(upstream: UpstreamIdentity, latency: Duration, isSound: Boolean) =
         chooser.onEnded(upstream, latency, isSound, clock())
 
     /** Reads the list whenever nobody sent it for a while. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
@@ -28,8 +28,29 @@
     /** Returns the number of upstreams of [model]. */
     fun count(model: ModelName): Int = homes.values.count { it == model }
 
-    /** Notes the work that is open at [now], in tokens. */
-    fun observe(models: Set<ModelName>, openTokens: (ModelName) -> Long, now: Moment) {
+    /**
+     * Gives each upstream a model, and moves one upstream at most to a model that has too few.
+     *
+     * All models that the upstreams hold count, so that the first one that is named does not get all upstreams.
+     *
+     * @param newest the newest named weights.
+     * @param openTokens work that is open for a model at [now].
+     */
+    fun assign(newest: Map<ModelName, WeightVersion>, openTokens: (ModelName) -> Long, now: Moment) {
+        val holders = board.all.filter { !it.listed.isLeaving && it.models.isNotEmpty() }
+        val models = holders.flatMapTo(LinkedHashSet()) { it.models }
+        if (models.isEmpty()) return
+        observe(models, openTokens, now)
+        val present = holders.mapTo(HashSet()) { it.listed.identity }
+        homes.entries.removeIf { it.key !in present || it.value !in models }
+        val shares = shares(models, holders.size)
+        for (card in holders) {
+            if (card.listed.identity !in homes) chooseHome(card, newest, shares)
+        }
+        rebalance(holders, shares)
+    }
+
+    private fun observe(models: Set<ModelName>, openTokens: (ModelName) -> Long, now: Moment) {
         val past = observedAt?.let { now - it } ?: Duration.INFINITE
         observedAt = now
         val gain = 1 - exp(-(past / AVERAGING_TIME))
@@ -39,35 +60,17 @@
         }
     }
 
-    /** Gives each upstream a model, and moves one upstream at most to a model that has too few. */
-    fun assign(targets: Map<ModelName, WeightVersion>) {
-        val holders = board.all.filter { card ->
-            !card.listed.isLeaving && targets.keys.any { card.version(it) != null }
-        }
-        val present = holders.mapTo(HashSet()) { it.listed.identity }
-        homes.entries.removeIf { it.key !in present || it.value !in targets }
-        val shares = shares(targets.keys, holders.size)
-        for (card in holders) {
-            if (card.listed.identity !in homes) chooseHome(card, targets, shares)
-        }
-        if (targets.size > 1) rebalance(holders, shares)
-    }
-
     private fun shares(models: Set<ModelName>, upstreams: Int): Map<ModelName, Double> {
         val total = models.sumOf { (demand[it] ?: 0.0) + LEAST_DEMAND }
         return models.associateWith { upstreams * ((demand[it] ?: 0.0) + LEAST_DEMAND) / total }
     }
 
     /** A model that lacks upstreams goes first; among these the one whose weights on the upstream are newest. */
-    private fun chooseHome(
-        card: UpstreamCard,
-        targets: Map<ModelName, WeightVersion>,
-        shares: Map<ModelName, Double>,
-    ) {
-        val home = targets.keys.filter { card.version(it) != null }.minWithOrNull(
+    private fun chooseHome(card: UpstreamCard, newest: Map<ModelName, WeightVersion>, shares: Map<ModelName, Double>) {
+        val home = card.models.minWithOrNull(
             compareBy<ModelName>(
                 { count(it) >= shares.getValue(it) },
-                { versionsBehind(card, it, targets.getValue(it)) },
+                { versionsBehind(card, it, newest[it]) },
                 { count(it) / shares.getValue(it) },
             ),
         )
@@ -96,7 +99,9 @@
         private const val REBALANCE_EXCESS = 1.0
 
         /** Returns the number of versions that [card] lacks up to [target]. */
-        fun versionsBehind(card: UpstreamCard, model: ModelName, target: WeightVersion): Long =
-            target.number - (card.version(model) ?: target).number
+        fun versionsBehind(card: UpstreamCard, model: ModelName, target: WeightVersion?): Long {
+            val held = card.version(model) ?: return 0
+            return (target ?: held).number - held.number
+        }
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -28,6 +28,9 @@
     internal var suspendedUntil: Moment? = null
     private val versions = HashMap(listed.versions)
 
+    /** Models of which the upstream has weights. */
+    public val models: Set<ModelName> get() = versions.keys
+
     /** Returns the weights of [model] that the upstream is believed to have, or null. */
     public fun version(model: ModelName): WeightVersion? = versions[model]
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -82,8 +82,7 @@
         modeOf: (ModelName) -> LoadMode,
     ): List<LoadAction> {
         loads.keys.filter { board.card(it) == null }.forEach { loads.remove(it) }
-        homes.observe(targets.keys, openTokens, now)
-        homes.assign(targets)
+        homes.assign(targets, openTokens, now)
         val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
         return actions + begin(now)
     }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
@@ -135,6 +135,21 @@
         expectThat(loaded.mapValues { it.value.size }).isEqualTo(mapOf(busy to 6, calm to 2))
     }
 
+    /** Guards against a trainer whose first version took all upstreams before the others named theirs. */
+    @Test
+    fun `the first model that is named loads only on its share`() {
+        val models = (1..4).map { ModelName("m$it") }
+        board.relist((1..32).map { upstream("u$it", models) })
+        loader.onNamed(models.first(), WeightVersion(2))
+        var now = start
+        val loaded = HashMap<ModelName, HashSet<UpstreamIdentity>>()
+        repeat(100) {
+            now += 100.milliseconds
+            tick(now).forEach { follow(it, loaded, now) }
+        }
+        expectThat(loaded.mapValues { it.value.size }).isEqualTo(mapOf(models.first() to 8))
+    }
+
     /** Answers [action] as an upstream does that loads at once. */
     private fun follow(action: LoadAction, loaded: HashMap<ModelName, HashSet<UpstreamIdentity>>, now: Moment) {
         when (action) {
