Serve counters and latency histograms of gateway processes in the text format of Prometheus

The path /metrics stands on the readiness address of an entry and on the operators' address of a core: requests by outcome with their latency, refusals by cause, job submissions, items, runs, weight orders, requests in flight and leadership.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.ItemRun
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.StreamEvent
@@ -47,6 +48,7 @@
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
     private val wallMilliseconds: () -> Long,
+    private val metrics: GatewayMetrics,
     private val random: Random = Random.Default,
 ) {
     val board = UpstreamBoard()
@@ -192,6 +194,7 @@
             "event=item-finished item=${action.key.item} job=${action.key.job} outcome=\"${action.reason}\" " +
                 "events=${text.events.size} versions=${versions.joinToString(",")}"
         }
+        metrics.onEvent("item", if (action.isCompleted) "completed" else "given_up")
         sink.record(JobIdentifier(action.key.job), ItemResult(action.key.item, action.isCompleted, output, versions))
     }
 
@@ -226,6 +229,7 @@
 
         override fun onEnd(end: RunEnd) = post {
             runs.remove(run)
+            metrics.onEvent("run", end.javaClass.simpleName)
             if (end is RunEnd.Broken) logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
             carryOut(dispatcher.onEnd(run, end, clock()))
             tick()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -18,6 +18,7 @@
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.DocumentCompression
 import org.zinniahoist.gateway.link.PeerLinks
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.ListReader
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -75,6 +76,7 @@
         failureDomain = FailureDomain(settings.failureDomain, Region(settings.region)),
         roles = setOf(Role.CONTROL),
     )
+    private val metrics = GatewayMetrics()
     private val links = CoreLinks(settings.machine, hello, jobs, scope, clock)
     private val calls = UpstreamCalls()
     private val listReader = ListReader(dialect, calls, settings.listEndpoint)
@@ -86,9 +88,10 @@
         ::post,
         clock,
         System::currentTimeMillis,
+        metrics,
     )
     private val loader = WeightLoader(engine.board)
-    private val orders = WeightOrders(dialect, calls, loader, scope, ::post, clock, ::confirmLeadership)
+    private val orders = WeightOrders(dialect, calls, loader, scope, ::post, clock, ::confirmLeadership, metrics)
     private val linkServer = LinkServer(
         Endpoint(settings.address, settings.linkPort),
         hello,
@@ -111,6 +114,9 @@
         links.host = host
         runBlocking { linkServer.start() }
         operatorServer = startOperatorServer()
+        metrics.gauge("zinniahoist_leads", "1 while this replica leads the service group.") {
+            if (host.status.isLeader) 1 else 0
+        }
         engineThread.scheduleWithFixedDelay(::guardedTick, 0, TICK.inWholeMilliseconds, TimeUnit.MILLISECONDS)
         scope.launch { readList() }
         logger.info { "event=started role=core machine=${settings.machine} instance=${hello.instance}" }
@@ -123,6 +129,7 @@
             .http(InetSocketAddress(endpoint.host, endpoint.port))
             .maxRequestLength(MAXIMUM_BODY_BYTES)
             .requestTimeoutMillis(0)
+            .service(GatewayMetrics.PATH, metrics.service())
             .serviceUnder("/", service)
             .build()
         server.start().join()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.launch
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.dialect.WeightOrder
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.FencingToken
 import org.zinniahoist.model.ListedUpstream
@@ -35,6 +36,7 @@
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
     private val confirmLeadership: suspend () -> Boolean,
+    private val metrics: GatewayMetrics,
 ) {
     /** Set while this replica leads. */
     var right: OrderRight? = null
@@ -67,6 +69,7 @@
             "event=order-given upstream=${upstream.identity} model=${action.model} version=${action.version} " +
                 "mode=${action.mode} fence=${held.fence} expected-orders=${action.expectedOrders} answer=$answer"
         }
+        metrics.onEvent("order", answer.name.lowercase())
         post { loader.onOrderAnswer(upstream.identity, answer, clock()) }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -18,6 +18,7 @@
 import org.zinniahoist.gateway.dialect.ClientCall
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.CoreClient
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.model.Moment
@@ -43,6 +44,7 @@
     private val calls: UpstreamCalls,
     private val scope: CoroutineScope,
     private val clock: () -> Moment,
+    private val metrics: GatewayMetrics,
     private val random: Random = Random.Default,
 ) : HttpService {
     private val names = dialect.headers
@@ -120,6 +122,7 @@
             "event=request request=${forwardedRequest.identifier} route=${route.name} revision=${known.revision} " +
                 "outcome=${describe(forwarded)} milliseconds=${(clock() - arrival).inWholeMilliseconds}"
         }
+        metrics.onRequest(outcomeOf(forwarded), clock() - arrival)
         return when (forwarded) {
             is Forwarded.Answer -> passOn(forwarded.answer)
             is Forwarded.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, forwarded.reason)
@@ -127,6 +130,12 @@
         }
     }
 
+    private fun outcomeOf(forwarded: Forwarded): String = when (forwarded) {
+        is Forwarded.Answer -> "answered"
+        is Forwarded.NotRun -> "not_run"
+        is Forwarded.NoAnswer -> "no_answer"
+    }
+
     private fun describe(forwarded: Forwarded): String = when (forwarded) {
         is Forwarded.Answer -> forwarded.answer.status.toString()
         is Forwarded.NotRun -> "not-run reason=\"${forwarded.reason}\""
@@ -167,6 +176,7 @@
         val job = request.headers().get(names.requestIdentifier) ?: return HttpResponse.of(HttpStatus.BAD_REQUEST)
         if (request.method() != HttpMethod.POST) return HttpResponse.of(HttpStatus.METHOD_NOT_ALLOWED)
         val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body), SUBMIT_TIMEOUT)
+        metrics.onEvent("job_submission", reply.javaClass.simpleName)
         logger.info { "event=job-submission job=$job bytes=${body.size} reply=${reply::class.simpleName}" }
         return respond(request, reply, success = HttpStatus.ACCEPTED)
     }
@@ -215,6 +225,7 @@
         val identifier = request.headers().get(names.requestIdentifier)
         val remaining = Forwarder.budget(request.headers().get(names.remainingMilliseconds), UNSTATED_BUDGET)
         val after = ReturnAdvice.after(cause, remaining, random)
+        metrics.onEvent("refusal", cause.name.lowercase())
         logger.info { "event=refused request=$identifier cause=$cause reason=\"$reason\" retry-after=$after" }
         val seconds = after.inWholeMilliseconds / MILLISECONDS_PER_SECOND
         val headers = ResponseHeaders.builder(HttpStatus.SERVICE_UNAVAILABLE)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -18,6 +18,7 @@
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.link.CoreObserver
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.ListReader
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -53,17 +54,22 @@
         clock,
     )
     private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
-    private val http = EntryHttp(dialect, core, directory, calls, scope, clock)
+    private val metrics = GatewayMetrics()
+    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics)
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
 
     override fun start() {
         clientServer = serverOn(checkNotNull(settings.clients)) { it.serviceUnder("/", http) }
         readinessServer = serverOn(checkNotNull(settings.readiness)) { builder ->
+            builder.service(GatewayMetrics.PATH, metrics.service())
             builder.serviceUnder("/") { _, _ ->
                 HttpResponse.of(if (isReady()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
             }
         }
+        metrics.gauge("zinniahoist_requests_in_flight", "Client requests without a complete answer.") {
+            http.requestsInFlight
+        }
         core.start()
         scope.launch { directory.keepFresh() }
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
