--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -0,0 +1,99 @@
+package org.zinniahoist.gateway.entry
+
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.Server
+import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.routes.Route
+import org.zinniahoist.policy.routes.RouteKind
+import org.zinniahoist.policy.routes.ServiceShare
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+
+/** Upstreams on the loopback that answer as a test wants, chosen in the order in which they were added. */
+internal class UpstreamFixture : AutoCloseable {
+    private val servers = ArrayList<Server>()
+    val calls = UpstreamCalls()
+    val upstreams = ListedInOrder()
+    val clock = { Moment(System.nanoTime()) + advance }
+
+    /** Time by which the clock of this fixture is ahead, so that a test need not wait for a deadline. */
+    @Volatile
+    var advance: Duration = Duration.ZERO
+
+    fun upstream(answer: () -> HttpResponse) {
+        val server = Server.builder().http(0).requestTimeoutMillis(0).serviceUnder("/") { _, _ -> answer() }.build()
+        server.start().join()
+        servers += server
+        val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
+        val identity = UpstreamIdentity("u${servers.size}")
+        upstreams.listed += ListedUpstream(identity, SERVICE, endpoint, "a", slots = 1, isLeaving = false, emptyMap())
+    }
+
+    fun request(kind: RouteKind, within: Duration = 10.seconds): ForwardedRequest {
+        val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
+        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind), clock() + within)
+    }
+
+    /** Head of an answer to the request of this fixture. */
+    fun head(vararg more: Pair<String, String>, status: HttpStatus = HttpStatus.OK): ResponseHeaders {
+        val builder = ResponseHeaders.builder(status).set(Names.requestIdentifier, REQUEST).set(Names.answerStamp, "s")
+        more.forEach { (name, value) -> builder.set(name, value) }
+        return builder.build()
+    }
+
+    override fun close() {
+        calls.close()
+        servers.forEach { it.stop().join() }
+    }
+
+    class ListedInOrder : UpstreamChooser {
+        val listed = CopyOnWriteArrayList<ListedUpstream>()
+        val ended = CopyOnWriteArrayList<Boolean>()
+
+        override fun choose(service: ServiceName, excluded: Set<UpstreamIdentity>) =
+            listed.firstOrNull { it.identity !in excluded }
+
+        override fun onEnded(upstream: UpstreamIdentity, latency: Duration, isSound: Boolean) {
+            ended += isSound
+        }
+    }
+
+    object Names : HeaderNames {
+        override val requestIdentifier = "x-request"
+        override val remainingMilliseconds = "x-remaining"
+        override val answerStamp = "x-stamp"
+        override val expectedUpstream = "x-upstream"
+        override val notRun = "x-not-run"
+        override val weightVersion = "x-version"
+        override val lastEvent = "x-last"
+        override val waitMilliseconds = "x-wait"
+    }
+
+    companion object {
+        const val REQUEST = "r1"
+        private val SERVICE = ServiceName("drafts")
+
+        private fun routeOf(kind: RouteKind) = Route(
+            name = "r",
+            host = "h",
+            pathPrefix = "/s/",
+            kind = kind,
+            timeout = 10.seconds,
+            target = 1.seconds,
+            priority = 0,
+            shares = listOf(ServiceShare(SERVICE, 1)),
+            maximumAttempts = 3,
+        )
+    }
+}
