--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -31,12 +31,14 @@
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.ServiceReply
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Takes results to the replicated log. */
-internal fun interface ResultSink {
-    fun record(job: JobIdentifier, result: ItemResult)
+internal fun interface ResultLog {
+    /** Proposes [result]; [onReply] is called on the engine's thread. */
+    fun propose(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit)
 }
 
 /** Runs the items of all jobs on the upstreams while this replica leads. All functions run on the engine's thread. */
@@ -44,7 +46,7 @@
     private val dialect: PlatformDialect,
     private val calls: UpstreamCalls,
     private val machine: ServiceStateMachine,
-    private val sink: ResultSink,
+    private val log: ResultLog,
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
     private val wallMilliseconds: () -> Long,
@@ -102,7 +104,7 @@
         val work = ArrayList<ItemWork>()
         for (item in open) {
             val result = earlier[item.identifier]?.takeIf { fits(it, job, route) }
-            if (result != null) sink.record(job.identifier, result) else work += work(record, route, item)
+            if (result != null) log.propose(job.identifier, result) {} else work += work(record, route, item)
         }
         dispatcher.submit(work)
         logger.info {
@@ -195,7 +197,8 @@
                 "events=${text.events.size} versions=${versions.joinToString(",")}"
         }
         metrics.onEvent("item", if (action.isCompleted) "completed" else "given_up")
-        sink.record(JobIdentifier(action.key.job), ItemResult(action.key.item, action.isCompleted, output, versions))
+        val result = ItemResult(action.key.item, action.isCompleted, output, versions)
+        log.propose(JobIdentifier(action.key.job), result) {}
     }
 
     private fun start(action: DispatchAction.Start) {
