Release the work of a term when the next one follows unseen

Callers would see items of an accepted job that are never listed: a leader that lost its leadership and won it again between two looks (50 ms, longer on a machine that was held up) kept its list of begun jobs, while results that could not be recorded in between had been dropped. If the fence of the new term was then refused, a later loss of leadership released nothing, and a follower went on running items. Cause: only terms were compared, and the term was cleared when a fence was refused. Fix: each place in the group (following, drawing a fence, active in a term) is a state, and leaving an active term always releases it; activating begins from nothing.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -66,8 +66,9 @@
 
     fun relist(entries: List<ListedUpstream>) = board.relist(entries)
 
-    /** Begins to run what is open. */
+    /** Begins to run what is open. Nothing of an earlier term goes on. */
     fun activate() {
+        deactivate()
         isActive = true
         machine.jobs.sortedBy { it.submittedMilliseconds }.forEach(::onJob)
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -1,6 +1,5 @@
 package org.zinniahoist.gateway.core
 
-import arrow.core.Either
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -101,9 +100,7 @@
     private suspend fun drawFence(term: Long) {
         val command = StateCodec.encode<ServiceCommand>(ServiceCommand.DrawFence(settings.machine))
         val answer = host().propose(command).await()
-        val drawn = (answer as? Either.Right)?.let {
-            StateCodec.decode<ServiceAnswer>(it.value) as? ServiceAnswer.Fence
-        }
+        val drawn = answer.getOrNull()?.let { StateCodec.decode<ServiceAnswer>(it) as? ServiceAnswer.Fence }
         thread.post { carryOut(leadership.onFence(term, drawn?.token)) }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Leadership.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Leadership.kt
@@ -17,34 +17,40 @@
     ) : LeadershipAction
 }
 
-/** Follows whether this replica leads. Not safe for use by several threads. */
+/** Follows whether this replica leads, one term at a time. Not safe for use by several threads. */
 internal class Leadership {
-    private var activeTerm: Long? = null
+    private var place: Place = Place.Following
 
     /** True while the work of the leader is done here. */
-    val isActive: Boolean get() = activeTerm != null
+    val isActive: Boolean get() = place is Place.Active
 
-    /** The group was seen in [term]. */
+    /** The group was seen in [term]. A term that began and ended between two looks is not seen. */
     fun onStatus(isLeader: Boolean, term: Long): List<LeadershipAction> {
+        if (isLeader && place.term == term) return emptyList()
         val actions = ArrayList<LeadershipAction>()
-        if (isLeader && activeTerm != term) {
-            activeTerm = term
-            actions += LeadershipAction.DrawFence(term)
-        }
-        if (!isLeader && activeTerm != null) {
-            activeTerm = null
-            actions += LeadershipAction.Release
-        }
+        if (isActive) actions += LeadershipAction.Release
+        if (isLeader) actions += LeadershipAction.DrawFence(term)
+        place = if (isLeader) Place.Drawing(term) else Place.Following
         return actions
     }
 
-    /** The [fence] of [term] was drawn; null if it could not be had. */
+    /** The [fence] of [term] was drawn; null if it could not be had, and then the next look draws it again. */
     fun onFence(term: Long, fence: FencingToken?): List<LeadershipAction> {
-        if (activeTerm != term) return emptyList()
-        if (fence == null) {
-            activeTerm = null
-            return emptyList()
+        if (place != Place.Drawing(term)) return emptyList()
+        place = if (fence == null) Place.Following else Place.Active(term)
+        return listOfNotNull(fence?.let { LeadershipAction.Take(term, it) })
+    }
+
+    private sealed interface Place {
+        /** Term in which this replica leads, or null. */
+        val term: Long?
+
+        data object Following : Place {
+            override val term: Long? get() = null
         }
-        return listOf(LeadershipAction.Take(term, fence))
+
+        data class Drawing(override val term: Long) : Place
+
+        data class Active(override val term: Long) : Place
     }
 }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -0,0 +1,232 @@
+package org.zinniahoist.gateway.core
+
+import arrow.core.Either
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.Server
+import org.zinniahoist.gateway.dialect.ClientCall
+import org.zinniahoist.gateway.dialect.ListPage
+import org.zinniahoist.gateway.dialect.NamedVersion
+import org.zinniahoist.gateway.dialect.OperatorCall
+import org.zinniahoist.gateway.dialect.OutboundPaths
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.WeightOrder
+import org.zinniahoist.gateway.entry.UpstreamFixture
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.UpstreamReport
+import org.zinniahoist.policy.routes.BatchTerms
+import org.zinniahoist.policy.routes.ConfigurationFault
+import org.zinniahoist.policy.routes.Route
+import org.zinniahoist.policy.routes.RouteKind
+import org.zinniahoist.policy.routes.RouteTable
+import org.zinniahoist.policy.routes.ServiceConfiguration
+import org.zinniahoist.policy.routes.ServiceShare
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchItem
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.HeaderField
+import org.zinniahoist.state.service.ItemResult
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceListener
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.state.service.StoredConfiguration
+import org.zinniahoist.wire.ServiceReply
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A [BatchEngine] on its own thread, with a replicated state that the test changes and an upstream on the loopback. */
+internal class EngineFixture : AutoCloseable, ServiceListener {
+    private val thread = EngineThread()
+    private val calls = UpstreamCalls()
+    private val server = Server.builder()
+        .http(0)
+        .requestTimeoutMillis(0)
+        .serviceUnder("/") { _, request -> answer(request.headers().get(UpstreamFixture.Names.requestIdentifier)) }
+        .build()
+    private var index = 0L
+    private val machine = ServiceStateMachine(this)
+
+    /** Items that reached the upstream, one entry a run. */
+    val asked = CopyOnWriteArrayList<String>()
+
+    /** Results that were proposed. */
+    val proposed = CopyOnWriteArrayList<ItemResult>()
+
+    /** What becomes of a proposal; recorded at first. */
+    @Volatile
+    var log: ResultLog = ResultLog { job, result, onReply -> record(job, result, onReply) }
+
+    /** Time by which the steady clock is ahead. */
+    @Volatile
+    var advance: Duration = Duration.ZERO
+
+    /** Time by which the wall clock is ahead. */
+    @Volatile
+    var wallJump: Duration = Duration.ZERO
+
+    private val engine = BatchEngine(
+        Names,
+        calls,
+        machine,
+        { job, result, onReply ->
+            proposed += result
+            log.propose(job, result, onReply)
+        },
+        thread::post,
+        { Moment(System.nanoTime()) + advance },
+        { System.currentTimeMillis() + wallJump.inWholeMilliseconds },
+        GatewayMetrics(),
+    )
+
+    init {
+        server.start().join()
+        val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
+        val upstream = ListedUpstream(UpstreamIdentity("u"), SERVICE, endpoint, "a", 4, isLeaving = false, emptyMap())
+        thread.post { engine.relist(listOf(upstream)) }
+    }
+
+    private fun answer(item: String?): HttpResponse {
+        asked += checkNotNull(item)
+        val head = ResponseHeaders.builder(HttpStatus.OK).set(UpstreamFixture.Names.requestIdentifier, item).build()
+        return HttpResponse.of(head, HttpData.ofUtf8("id: 1\ndata: text of $item\n\n"))
+    }
+
+    fun activate() = onThread { engine.activate() }
+
+    fun deactivate() = onThread { engine.deactivate() }
+
+    fun routes(vararg routes: Route) = onThread {
+        engine.routes = RouteTable(ServiceConfiguration(Revision(1), routes.toList(), emptyList(), limits = null))
+    }
+
+    /** Accepts a job with one item for each of [items]. */
+    fun submit(job: String, vararg items: BatchItem) =
+        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", items.toList())))
+
+    /** Lists [result] and says so. */
+    fun record(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit) {
+        thread.post {
+            applyHere(ServiceCommand.RecordResults(job, listOf(result)))
+            onReply(ServiceReply.Done)
+        }
+    }
+
+    fun apply(command: ServiceCommand) = onThread { applyHere(command) }
+
+    private fun applyHere(command: ServiceCommand) {
+        val time = System.currentTimeMillis() + wallJump.inWholeMilliseconds
+        machine.apply(++index, time, StateCodec.encode(command))
+    }
+
+    /** Ticks until [condition] holds; returns false if it doesn't within [limit]. */
+    fun eventually(limit: Duration = 5.seconds, condition: () -> Boolean): Boolean {
+        val end = System.nanoTime() + limit.inWholeNanoseconds
+        while (System.nanoTime() < end) {
+            if (condition()) return true
+            onThread { engine.tick() }
+            Thread.sleep(PAUSE.inWholeMilliseconds)
+        }
+        return condition()
+    }
+
+    /** Runs [task] as the engine's thread would: what it throws ends the task only. */
+    private fun onThread(task: () -> Unit) {
+        val done = CompletableFuture<Unit>()
+        thread.post {
+            try {
+                task()
+            } finally {
+                done.complete(Unit)
+            }
+        }
+        done.join()
+    }
+
+    override fun onConfiguration(configuration: StoredConfiguration) = Unit
+
+    override fun onJob(record: JobRecord) = thread.post { engine.onJob(record) }
+
+    override fun onVersion(model: ModelName, version: WeightVersion) = Unit
+
+    override fun close() {
+        thread.close()
+        calls.close()
+        server.stop().join()
+    }
+
+    private object Names : PlatformDialect {
+        override val headers = UpstreamFixture.Names
+        override val paths: OutboundPaths get() = unused()
+
+        override fun clientCall(method: String, path: String, query: String?): ClientCall = unused()
+
+        override fun operatorCall(method: String, path: String): OperatorCall = unused()
+
+        override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> = unused()
+
+        override fun job(
+            identifier: String,
+            host: String,
+            path: String,
+            body: ByteArray,
+        ): Either<String, BatchJob> = unused()
+
+        override fun jobPage(total: Int, after: Int, results: List<ItemResult>): ByteArray = unused()
+
+        override fun sizeOf(result: ItemResult): Int = unused()
+
+        override fun listPage(body: ByteArray): ListPage = unused()
+
+        override fun report(body: ByteArray): UpstreamReport = unused()
+
+        override fun order(order: WeightOrder): ByteArray = unused()
+
+        override fun namedVersion(body: ByteArray): NamedVersion = unused()
+
+        override fun retirement(isComplete: Boolean): ByteArray = unused()
+
+        private fun unused(): Nothing = error("not part of running items")
+    }
+
+    companion object {
+        val SERVICE = ServiceName("drafts")
+
+        /** Shares of a service that has no upstreams. */
+        val NO_UPSTREAMS = listOf(ServiceShare(ServiceName("none"), 1))
+        private val PAUSE = 10.milliseconds
+
+        fun item(name: String, vararg headers: HeaderField) =
+            BatchItem(RequestIdentifier(name), "/s/$name", headers.toList(), byteArrayOf(1), tokens = 10)
+
+        /** The route of all jobs. */
+        fun route(kind: RouteKind = RouteKind.BATCH, keep: Duration = 40.seconds) = Route(
+            name = "r",
+            host = "h",
+            pathPrefix = "/s/",
+            kind = kind,
+            timeout = 1.seconds,
+            target = 1.seconds,
+            priority = 0,
+            shares = listOf(ServiceShare(SERVICE, 1)),
+            maximumAttempts = 3,
+            batch = BatchTerms(due = 7.seconds, keep = keep, singleVersion = false).takeIf { kind == RouteKind.BATCH },
+        )
+    }
+}
