Compare the jobs that run with the replicated record each second

Callers would see items of an accepted job that are never listed. The dispatcher, the list of begun jobs and the results on their way were kept apart, and what fell between them came back only with the next leader: a job whose route was unknown for a moment was forgotten; a result that was refused at an instant without leadership was dropped after its item had left the dispatcher. Fix: the record says what is open. ResultRecorder holds each result until it is listed, and once a second, and when a term begins, the engine begins each open item that neither the dispatcher nor the recorder holds, and ends jobs that are no longer open. The cost is one pass over the items of open jobs. BatchEngine is split into ItemRuns (connections), JobPlanner (terms and texts) and ResultRecorder. Evidence: 'begins a job when its route comes', 'begins a job of which it was not told' and 'ends a job of whose end it was not told' fail on the engine before. New lines and counters: items-begun-again, job-without-route, results by outcome.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -1,162 +1,92 @@
 package org.zinniahoist.gateway.core
 
-import com.linecorp.armeria.common.HttpMethod
-import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.metrics.GatewayMetrics
-import org.zinniahoist.gateway.upstream.ItemRun
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.StreamEvent
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
-import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.DispatchAction
-import org.zinniahoist.policy.dispatch.DraftTerms
 import org.zinniahoist.policy.dispatch.ItemDispatcher
 import org.zinniahoist.policy.dispatch.ItemKey
-import org.zinniahoist.policy.dispatch.ItemText
-import org.zinniahoist.policy.dispatch.ItemWork
 import org.zinniahoist.policy.dispatch.RunEnd
 import org.zinniahoist.policy.dispatch.UpstreamBoard
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteTable
-import org.zinniahoist.policy.routes.drawService
-import org.zinniahoist.state.service.BatchItem
-import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.ServiceStateMachine
-import org.zinniahoist.wire.ServiceReply
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.milliseconds
-
-/** Takes results to the replicated log. */
-internal fun interface ResultLog {
-    /** Proposes [result]; [onReply] is called on the engine's thread. */
-    fun propose(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit)
-}
-
-/** Runs the items of all jobs on the upstreams while this replica leads. All functions run on the engine's thread. */
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Runs the items of all jobs on the upstreams while this replica leads. All functions run on the engine's thread.
+ *
+ * The replicated record decides what is open. Each open item is held by the dispatcher or its result is on its way;
+ * what is neither is found by a comparison with the record at each reconciliation and begun again.
+ */
 internal class BatchEngine(
     private val dialect: PlatformDialect,
-    private val calls: UpstreamCalls,
+    calls: UpstreamCalls,
     private val machine: ServiceStateMachine,
-    private val log: ResultLog,
+    log: ResultLog,
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
-    private val wallMilliseconds: () -> Long,
+    wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
 ) {
     val board = UpstreamBoard()
     private val dispatcher = ItemDispatcher(board)
-    private val runs = HashMap<Long, ItemRun>()
-    private val keptTexts = LinkedHashMap<RequestIdentifier, ItemText>()
-    private val known = HashSet<JobIdentifier>()
+    private val runs = ItemRuns(dialect.headers, calls, machine)
+    private val recorder = ResultRecorder(log, metrics)
+    private val planner = JobPlanner(machine, wallMilliseconds, random)
 
-    /** The routes in force, or null before the first configuration. */
-    var routes: RouteTable? = null
+    /** Jobs whose items were given to the dispatcher. */
+    private val begun = HashSet<JobIdentifier>()
 
+    /** Open jobs without a route, each of which is reported once. */
+    private val unrouted = HashSet<JobIdentifier>()
+    private var nextReconciliation: Moment? = null
     private var isActive = false
 
+    /** The routes in force, or null before the first configuration. */
+    var routes: RouteTable? = null
+
     fun relist(entries: List<ListedUpstream>) = board.relist(entries)
 
     /** Begins to run what is open. Nothing of an earlier term goes on. */
     fun activate() {
         deactivate()
         isActive = true
-        machine.jobs.sortedBy { it.submittedMilliseconds }.forEach(::onJob)
+        tick()
     }
 
     /** Ends all runs. */
     fun deactivate() {
         isActive = false
-        known.clear()
+        nextReconciliation = null
+        begun.clear()
+        unrouted.clear()
+        recorder.clear()
         carryOut(dispatcher.clear())
     }
 
     /** A job was accepted, got results or was ended. */
     fun onJob(record: JobRecord) {
+        val identifier = record.job.identifier
         if (!isActive) return
-        val job = record.job
         if (record.isEnded) {
-            if (known.remove(job.identifier)) end(job)
-            return
-        }
-        if (!known.add(job.identifier)) return
-        val route = routes?.find(job.host, job.path)
-        if (route == null) {
-            known.remove(job.identifier)
-            logger.warn { "event=job-without-route job=${job.identifier} host=${job.host} path=${job.path}" }
-            return
-        }
-        begin(record, route)
-    }
-
-    private fun begin(record: JobRecord, route: Route) {
-        val job = record.job
-        val earlier = earlierResults(job)
-        val open = record.openItems()
-        val work = ArrayList<ItemWork>()
-        for (item in open) {
-            val result = earlier[item.identifier]?.takeIf { fits(it, job, route) }
-            if (result != null) log.propose(job.identifier, result) {} else work += work(record, route, item)
-        }
-        dispatcher.submit(work)
-        logger.info {
-            "event=job-begun job=${job.identifier} step=${job.step?.step} items=${job.items.size} open=${open.size} " +
-                "reused=${open.size - work.size} minimum-version=${job.step?.minimumVersion}"
+            if (identifier in begun) end(identifier)
+        } else if (identifier !in begun) {
+            begin(record, clock())
+            tick()
         }
-        tick()
-    }
-
-    private fun end(job: BatchJob) {
-        val cancelled = dispatcher.cancelJob(job.identifier.value)
-        keptTexts += cancelled.texts
-        while (keptTexts.size > KEPT_TEXTS) keptTexts.remove(keptTexts.keys.first())
-        carryOut(cancelled.aborts)
-        logger.info { "event=job-ended job=${job.identifier} unfinished=${cancelled.texts.size}" }
-    }
-
-    /** Groups that were not complete come again; what an earlier job made of them may be used. */
-    private fun earlierResults(job: BatchJob): Map<RequestIdentifier, ItemResult> {
-        val wanted = job.items.mapTo(HashSet()) { it.identifier }
-        return machine.jobs
-            .filter { it.job.identifier != job.identifier }
-            .flatMap { it.results }
-            .filter { it.isCompleted && it.item in wanted }
-            .associateBy { it.item }
-    }
-
-    private fun fits(result: ItemResult, job: BatchJob, route: Route): Boolean =
-        ItemText(versions = result.versions).fits(termsOf(job, route))
-
-    private fun termsOf(job: BatchJob, route: Route): DraftTerms? = job.step?.let {
-        DraftTerms(it.model, it.minimumVersion, route.batch?.singleVersion == true)
-    }
-
-    private fun work(record: JobRecord, route: Route, item: BatchItem): ItemWork {
-        val now = clock()
-        val age = (wallMilliseconds() - record.submittedMilliseconds).coerceAtLeast(0).milliseconds
-        val batch = route.batch
-        val text = keptTexts[item.identifier]
-        return ItemWork(
-            key = ItemKey(record.job.identifier.value, item.identifier),
-            service = route.drawService(random),
-            dueAt = now + (batch?.due ?: route.timeout) - age,
-            giveUpAt = now + (batch?.keep ?: route.timeout) - age,
-            maximumFailures = route.maximumAttempts,
-            group = item.group,
-            isCarriedOver = text != null,
-            expectedTokens = item.expectedTokens ?: item.tokens,
-            terms = termsOf(record.job, route),
-            text = text ?: ItemText(),
-        )
     }
 
     /** True if an open job of the model wants each sample from the same weights. */
@@ -170,26 +100,79 @@
     /** Carries out what is due now. */
     fun tick() {
         if (!isActive) return
-        carryOut(dispatcher.tick(clock()))
+        val now = clock()
+        if (nextReconciliation?.let { now >= it } != false) reconcile(now)
+        recorder.tick(now)
+        carryOut(dispatcher.tick(now))
+    }
+
+    private fun reconcile(now: Moment) {
+        nextReconciliation = now + RECONCILIATION_INTERVAL
+        val open = machine.jobs.filter { !it.isEnded }
+        (begun - open.map { it.job.identifier }.toSet()).forEach(::end)
+        open.sortedBy { it.submittedMilliseconds }.forEach { begin(it, now) }
+    }
+
+    /** Begins the items of [record] that neither the dispatcher nor the recorder holds. */
+    private fun begin(record: JobRecord, now: Moment) {
+        val job = record.job
+        val open = record.openItems().filter {
+            val key = ItemKey(job.identifier.value, it.identifier)
+            key !in dispatcher && key !in recorder
+        }
+        if (open.isEmpty() && job.identifier in begun) return
+        val route = routeOf(record) ?: return
+        unrouted.remove(job.identifier)
+        val plan = planner.plan(record, route, open, now)
+        val isFirst = begun.add(job.identifier)
+        logger.info {
+            "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} step=${job.step?.step} " +
+                "items=${job.items.size} open=${open.size} reused=${plan.reused.size} " +
+                "minimum-version=${job.step?.minimumVersion}"
+        }
+        if (!isFirst) metrics.onEvent("job", "begun_again")
+        plan.reused.forEach { recorder.record(job.identifier, it, now) }
+        dispatcher.submit(plan.work)
+    }
+
+    private fun routeOf(record: JobRecord): Route? {
+        val job = record.job
+        val route = routes?.find(job.host, job.path)
+        if (route == null && unrouted.add(job.identifier)) {
+            logger.warn { "event=job-without-route job=${job.identifier} host=${job.host} path=${job.path}" }
+            metrics.onEvent("job", "without_route")
+        }
+        return route
+    }
+
+    private fun end(job: JobIdentifier) {
+        begun.remove(job)
+        val cancelled = dispatcher.cancelJob(job.value)
+        planner.keep(cancelled.texts)
+        carryOut(cancelled.aborts)
+        logger.info { "event=job-ended job=$job unfinished=${cancelled.texts.size}" }
     }
 
     private fun carryOut(actions: List<DispatchAction>) {
         for (action in actions) {
             when (action) {
                 is DispatchAction.Start -> start(action)
-
-                is DispatchAction.Abort -> {
-                    logger.info { "event=run-aborted run=${action.run} reason=\"${action.reason}\"" }
-                    runs.remove(action.run)?.abort()
-                }
-
+                is DispatchAction.Abort -> runs.abort(action.run, action.reason)
                 is DispatchAction.Finish -> finish(action)
             }
         }
     }
 
+    private fun start(action: DispatchAction.Start) {
+        logger.info {
+            "event=run-started run=${action.run} item=${action.key.item} job=${action.key.job} " +
+                "upstream=${action.upstream.identity} after=${action.afterEvent} waiting=${dispatcher.waitingItems}"
+        }
+        runs.start(action, Observer(action.run))
+    }
+
     private fun finish(action: DispatchAction.Finish) {
-        keptTexts.remove(action.key.item)
+        planner.forget(action.key.item)
         val text = action.text
         val output = if (action.isCompleted) text.events.joinToString("\n") else ""
         val versions = if (action.isCompleted) text.versions else emptyList()
@@ -199,29 +182,7 @@
         }
         metrics.onEvent("item", if (action.isCompleted) "completed" else "given_up")
         val result = ItemResult(action.key.item, action.isCompleted, output, versions)
-        log.propose(JobIdentifier(action.key.job), result) {}
-    }
-
-    private fun start(action: DispatchAction.Start) {
-        val record = machine.job(JobIdentifier(action.key.job)) ?: return
-        val item = record.item(action.key.item) ?: return
-        val response = calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
-        val run = ItemRun(dialect.headers, item.identifier.value, Observer(action.run), response)
-        runs[action.run] = run
-        logger.info {
-            "event=run-started run=${action.run} item=${item.identifier} job=${action.key.job} " +
-                "upstream=${action.upstream.identity} after=${action.afterEvent} waiting=${dispatcher.waitingItems}"
-        }
-        run.start()
-    }
-
-    private fun headers(job: BatchJob, item: BatchItem, action: DispatchAction.Start): RequestHeaders {
-        val builder = RequestHeaders.builder(HttpMethod.POST, item.path).authority(job.host)
-        item.headers.forEach { builder.set(it.name, it.value) }
-        builder.set(dialect.headers.requestIdentifier, item.identifier.value)
-        builder.set(dialect.headers.expectedUpstream, action.upstream.identity.value)
-        action.afterEvent?.let { builder.set(dialect.headers.lastEvent, it.toString()) }
-        return builder.build()
+        recorder.record(JobIdentifier(action.key.job), result, clock())
     }
 
     private inner class Observer(private val run: Long) : RunObserver {
@@ -232,7 +193,7 @@
         }
 
         override fun onEnd(end: RunEnd) = post {
-            runs.remove(run)
+            runs.forget(run)
             metrics.onEvent("run", end.javaClass.simpleName)
             if (end is RunEnd.Broken) logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
             carryOut(dispatcher.onEnd(run, end, clock()))
@@ -243,7 +204,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
-        /** Several steps of unfinished samples. */
-        const val KEPT_TEXTS = 2_000
+        /** Bounds the time for which an open item may be held by nobody. */
+        val RECONCILIATION_INTERVAL = 1.seconds
     }
 }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -0,0 +1,57 @@
+package org.zinniahoist.gateway.core
+
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.ItemRun
+import org.zinniahoist.gateway.upstream.RunObserver
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.policy.dispatch.DispatchAction
+import org.zinniahoist.state.service.BatchItem
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.ServiceStateMachine
+
+/** The connections on which items run now. All functions run on the engine's thread. */
+internal class ItemRuns(
+    private val names: HeaderNames,
+    private val calls: UpstreamCalls,
+    private val machine: ServiceStateMachine,
+) {
+    private val runs = HashMap<Long, ItemRun>()
+
+    /** Sends the item of [action] to its upstream; [observer] is told of the answer. */
+    fun start(action: DispatchAction.Start, observer: RunObserver) {
+        val record = machine.job(JobIdentifier(action.key.job)) ?: return
+        val item = record.item(action.key.item) ?: return
+        val response = calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
+        val run = ItemRun(names, item.identifier.value, observer, response)
+        runs[action.run] = run
+        run.start()
+    }
+
+    /** Closes the connection of [run], if it is still open. */
+    fun abort(run: Long, reason: String) {
+        logger.info { "event=run-aborted run=$run reason=\"$reason\"" }
+        runs.remove(run)?.abort()
+    }
+
+    /** The answer to [run] has ended. */
+    fun forget(run: Long) {
+        runs.remove(run)
+    }
+
+    private fun headers(job: BatchJob, item: BatchItem, action: DispatchAction.Start): RequestHeaders {
+        val builder = RequestHeaders.builder(HttpMethod.POST, item.path).authority(job.host)
+        item.headers.forEach { builder.set(it.name, it.value) }
+        builder.set(names.requestIdentifier, item.identifier.value)
+        builder.set(names.expectedUpstream, action.upstream.identity.value)
+        action.afterEvent?.let { builder.set(names.lastEvent, it.toString()) }
+        return builder.build()
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -0,0 +1,89 @@
+package org.zinniahoist.gateway.core
+
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.policy.dispatch.DraftTerms
+import org.zinniahoist.policy.dispatch.ItemKey
+import org.zinniahoist.policy.dispatch.ItemText
+import org.zinniahoist.policy.dispatch.ItemWork
+import org.zinniahoist.policy.routes.Route
+import org.zinniahoist.policy.routes.drawService
+import org.zinniahoist.state.service.BatchItem
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.ItemResult
+import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ServiceStateMachine
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
+
+/** What is left to do for some items of a job. */
+internal class JobPlan(
+    /** Items that have to run. */
+    val work: List<ItemWork>,
+    /** Results that an earlier job made of the same items. */
+    val reused: List<ItemResult>,
+)
+
+/** Says how items of jobs are to be run. All functions run on the engine's thread. */
+internal class JobPlanner(
+    private val machine: ServiceStateMachine,
+    private val wallMilliseconds: () -> Long,
+    private val random: Random,
+) {
+    private val keptTexts = LinkedHashMap<RequestIdentifier, ItemText>()
+
+    /** Returns the plan for [items] of [record] on [route]. */
+    fun plan(record: JobRecord, route: Route, items: List<BatchItem>, now: Moment): JobPlan {
+        val terms = termsOf(record.job, route)
+        val earlier = earlierResults(record.job, items).filterValues { ItemText(versions = it.versions).fits(terms) }
+        val work = items.filter { it.identifier !in earlier }.map { work(record, route, it, now) }
+        return JobPlan(work, items.mapNotNull { earlier[it.identifier] })
+    }
+
+    /** Keeps the [texts] of unfinished items for a later job that holds them again. */
+    fun keep(texts: Map<RequestIdentifier, ItemText>) {
+        keptTexts += texts
+        while (keptTexts.size > KEPT_TEXTS) keptTexts.remove(keptTexts.keys.first())
+    }
+
+    /** The text of [item] is needed no more. */
+    fun forget(item: RequestIdentifier) {
+        keptTexts.remove(item)
+    }
+
+    /** Groups that were not complete come again; what an earlier job made of them may be used. */
+    private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, ItemResult> {
+        val wanted = items.mapTo(HashSet()) { it.identifier }
+        return machine.jobs
+            .filter { it.job.identifier != job.identifier }
+            .flatMap { it.results }
+            .filter { it.isCompleted && it.item in wanted }
+            .associateBy { it.item }
+    }
+
+    private fun termsOf(job: BatchJob, route: Route): DraftTerms? = job.step?.let {
+        DraftTerms(it.model, it.minimumVersion, route.batch?.singleVersion == true)
+    }
+
+    private fun work(record: JobRecord, route: Route, item: BatchItem, now: Moment): ItemWork {
+        val age = (wallMilliseconds() - record.submittedMilliseconds).coerceAtLeast(0).milliseconds
+        val text = keptTexts[item.identifier]
+        return ItemWork(
+            key = ItemKey(record.job.identifier.value, item.identifier),
+            service = route.drawService(random),
+            dueAt = now + (route.batch?.due ?: route.timeout) - age,
+            giveUpAt = now + (route.batch?.keep ?: route.timeout) - age,
+            maximumFailures = route.maximumAttempts,
+            group = item.group,
+            isCarriedOver = text != null,
+            expectedTokens = item.expectedTokens ?: item.tokens,
+            terms = termsOf(record.job, route),
+            text = text ?: ItemText(),
+        )
+    }
+
+    private companion object {
+        /** Several steps of unfinished samples. */
+        const val KEPT_TEXTS = 2_000
+    }
+}
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -48,7 +48,7 @@
         dialect,
         calls,
         machine,
-        { job, result, _ -> scope.launch { record(job, result) } },
+        ::record,
         thread::post,
         clock,
         System::currentTimeMillis,
@@ -74,7 +74,7 @@
     fun onRoutes(read: () -> RouteTable?): Unit = thread.post { engine.routes = read() }
 
     /** A job was accepted, got results or was ended. */
-    fun onJob(record: JobRecord): Unit = thread.post { if (orders.right != null) engine.onJob(record) }
+    fun onJob(record: JobRecord): Unit = thread.post { engine.onJob(record) }
 
     /** New weights of [model] were named. */
     fun onVersion(model: ModelName, version: WeightVersion): Unit = thread.post { loader.onNamed(model, version) }
@@ -113,13 +113,10 @@
 
     private suspend fun confirmLeadership(): Boolean = host().query(ByteArray(0)).await().isRight()
 
-    private suspend fun record(job: JobIdentifier, result: ItemResult) {
-        while (true) {
+    private fun record(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit) {
+        scope.launch {
             val reply = jobs.propose(ServiceCommand.RecordResults(job, listOf(result)))
-            if (reply is ServiceReply.Done || !host().status.isLeader) return
-            logger.warn { "event=result-not-recorded job=$job item=${result.item} reply=${reply::class.simpleName}" }
-            if (reply is ServiceReply.NotFound) return
-            delay(RECORD_RETRY)
+            thread.post { onReply(reply) }
         }
     }
 
@@ -143,6 +140,5 @@
 
         /** A new leader reads the list this soon. */
         val LEADER_CHECK = 50.milliseconds
-        val RECORD_RETRY = 100.milliseconds
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -2,8 +2,13 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.ServiceCommand
 import strikt.api.expectThat
+import strikt.assertions.isFalse
 import strikt.assertions.isTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 internal class BatchEngineTest {
     private val fixture = EngineFixture()
@@ -22,4 +27,62 @@
         fixture.activate()
         expectThat(fixture.eventually { fixture.asked.size == 2 }).isTrue()
     }
+
+    /** Guards against a job that is never begun because its route came after it. */
+    @Test
+    fun `begins a job when its route comes`() {
+        fixture.activate()
+        fixture.routes()
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually(limit = 1.seconds) { fixture.asked.isNotEmpty() }).isFalse()
+        fixture.routes(EngineFixture.route())
+        expectThat(fixture.eventually { fixture.proposed.any { it.isCompleted } }).isTrue()
+    }
+
+    /** Guards against an accepted job that nobody runs because the word of it was lost. */
+    @Test
+    fun `begins a job of which it was not told`() {
+        fixture.routes(EngineFixture.route())
+        fixture.activate()
+        fixture.isTold = false
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
+    }
+
+    /** Guards against runs for a job whose end was not heard of. */
+    @Test
+    fun `ends a job of whose end it was not told`() {
+        fixture.answersEnd = false
+        fixture.routes(EngineFixture.route())
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually { fixture.asked.size == 1 }).isTrue()
+        fixture.isTold = false
+        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        fixture.pass(1_500.milliseconds)
+        val runs = fixture.asked.size
+        expectThat(fixture.eventually(limit = 3.seconds) { fixture.asked.size > runs }).isFalse()
+    }
+
+    /** Guards against a second run of an item whose result is on its way. */
+    @Test
+    fun `runs no item again while its result is being recorded`() {
+        fixture.log = ResultLog { _, _, _ -> }
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
+        expectThat(fixture.eventually(limit = 2.seconds) { fixture.asked.size == 2 }).isFalse()
+    }
+
+    /** Guards against runs for a job that nobody waits for any more. */
+    @Test
+    fun `runs nothing of a job that was ended`() {
+        fixture.routes()
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        fixture.routes(EngineFixture.route())
+        expectThat(fixture.eventually(limit = 1.seconds) { fixture.asked.isNotEmpty() }).isFalse()
+    }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -73,6 +73,14 @@
     @Volatile
     var log: ResultLog = ResultLog { job, result, onReply -> record(job, result, onReply) }
 
+    /** Whether the engine is told of changes of jobs. */
+    @Volatile
+    var isTold: Boolean = true
+
+    /** Whether answers of the upstream come to their end. */
+    @Volatile
+    var answersEnd: Boolean = true
+
     /** Time by which the steady clock is ahead. */
     @Volatile
     var advance: Duration = Duration.ZERO
@@ -105,7 +113,12 @@
     private fun answer(item: String?): HttpResponse {
         asked += checkNotNull(item)
         val head = ResponseHeaders.builder(HttpStatus.OK).set(UpstreamFixture.Names.requestIdentifier, item).build()
-        return HttpResponse.of(head, HttpData.ofUtf8("id: 1\ndata: text of $item\n\n"))
+        val event = HttpData.ofUtf8("id: 1\ndata: text of $item\n\n")
+        if (answersEnd) return HttpResponse.of(head, event)
+        val endless = HttpResponse.streaming()
+        endless.write(head)
+        endless.write(event)
+        return endless
     }
 
     fun activate() = onThread { engine.activate() }
@@ -146,6 +159,11 @@
         return condition()
     }
 
+    /** Ticks for [time]. */
+    fun pass(time: Duration) {
+        eventually(time) { false }
+    }
+
     /** Runs [task] as the engine's thread would: what it throws ends the task only. */
     private fun onThread(task: () -> Unit) {
         val done = CompletableFuture<Unit>()
@@ -161,7 +179,9 @@
 
     override fun onConfiguration(configuration: StoredConfiguration) = Unit
 
-    override fun onJob(record: JobRecord) = thread.post { engine.onJob(record) }
+    override fun onJob(record: JobRecord) {
+        if (isTold) thread.post { engine.onJob(record) }
+    }
 
     override fun onVersion(model: ModelName, version: WeightVersion) = Unit
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -47,6 +47,9 @@
     /** Runs in progress. */
     public val runningItems: Int get() = runs.size
 
+    /** True while [key] waits or runs. */
+    public operator fun contains(key: ItemKey): Boolean = key in items
+
     /** Returns the expected tokens of all items of [model] that are not finished. */
     public fun openTokens(model: ModelName): Long =
         items.values.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
