Begin the other jobs when one can't be begun or sent

Callers would see accepted jobs of which no item ever runs: an item with a header that the client library refuses ended the whole task of the engine, and at an activation all later jobs with it, for good. Its place on the upstream stayed taken until the stall limit, and the upstream, which had been asked nothing, was suspended. Cause: exceptions were caught around a task only, and a run that was not sent had no end. Fix: a run that can't be sent ends as not run, and a job that can't be begun is logged and the next one is begun. Evidence: 'begins the other jobs when an item can not be sent', 'begins the other jobs when one can not be planned' and 'takes no place for an item that can not be sent' fail on the engine before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -110,7 +110,14 @@
         nextReconciliation = now + RECONCILIATION_INTERVAL
         val open = machine.jobs.filter { !it.isEnded }
         (begun - open.map { it.job.identifier }.toSet()).forEach(::end)
-        open.sortedBy { it.submittedMilliseconds }.forEach { begin(it, now) }
+        open.sortedBy { it.submittedMilliseconds }.forEach { beginGuarded(it, now) }
+    }
+
+    /** A job that can't be begun must not keep the others from it. */
+    private fun beginGuarded(record: JobRecord, now: Moment) = try {
+        begin(record, now)
+    } catch (fault: Exception) {
+        logger.error(fault) { "event=job-not-begun job=${record.job.identifier}" }
     }
 
     /** Begins the items of [record] that neither the dispatcher nor the recorder holds. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.core
 
 import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.HeaderNames
@@ -8,6 +9,8 @@
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.policy.dispatch.DispatchAction
+import org.zinniahoist.policy.dispatch.ItemKey
+import org.zinniahoist.policy.dispatch.RunEnd
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.JobIdentifier
@@ -21,12 +24,22 @@
 ) {
     private val runs = HashMap<Long, ItemRun>()
 
-    /** Sends the item of [action] to its upstream; [observer] is told of the answer. */
+    /** Items that could not be sent, each of which is reported once. */
+    private val unsent = LinkedHashSet<ItemKey>()
+
+    /** Sends the item of [action] to its upstream; [observer] is told of the answer, or that nothing was sent. */
     fun start(action: DispatchAction.Start, observer: RunObserver) {
-        val record = machine.job(JobIdentifier(action.key.job)) ?: return
-        val item = record.item(action.key.item) ?: return
-        val response = calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
-        val run = ItemRun(names, item.identifier.value, observer, response)
+        val response = try {
+            send(action)
+        } catch (fault: Exception) {
+            onUnsent(action, fault.toString())
+            null
+        }
+        if (response == null) {
+            observer.onEnd(RunEnd.NotRun)
+            return
+        }
+        val run = ItemRun(names, action.key.item.value, observer, response)
         runs[action.run] = run
         run.start()
     }
@@ -42,6 +55,22 @@
         runs.remove(run)
     }
 
+    private fun send(action: DispatchAction.Start): HttpResponse? {
+        val record = machine.job(JobIdentifier(action.key.job))
+        val item = record?.item(action.key.item)
+        if (item == null) {
+            onUnsent(action, "the job is not kept")
+            return null
+        }
+        return calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
+    }
+
+    private fun onUnsent(action: DispatchAction.Start, cause: String) {
+        if (!unsent.add(action.key)) return
+        if (unsent.size > REMEMBERED_UNSENT) unsent.remove(unsent.first())
+        logger.warn { "event=run-not-sent item=${action.key.item} job=${action.key.job} cause=\"$cause\"" }
+    }
+
     private fun headers(job: BatchJob, item: BatchItem, action: DispatchAction.Start): RequestHeaders {
         val builder = RequestHeaders.builder(HttpMethod.POST, item.path).authority(job.host)
         item.headers.forEach { builder.set(it.name, it.value) }
@@ -53,5 +82,6 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+        const val REMEMBERED_UNSENT = 1_000
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
 import strikt.api.expectThat
@@ -85,4 +86,35 @@
         fixture.routes(EngineFixture.route())
         expectThat(fixture.eventually(limit = 1.seconds) { fixture.asked.isNotEmpty() }).isFalse()
     }
+
+    /** Guards against one item that can't be sent and takes all later jobs of an activation with it. */
+    @Test
+    fun `begins the other jobs when an item can not be sent`() {
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a", HeaderField("no header name", "x")))
+        fixture.submit("k", EngineFixture.item("b"))
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.map { it.item.value } == listOf("b") }).isTrue()
+    }
+
+    /** Guards against one job that can't be planned and takes all later jobs of an activation with it. */
+    @Test
+    fun `begins the other jobs when one can not be planned`() {
+        val weightless = EngineFixture.route().copy(host = "w", shares = emptyList())
+        fixture.routes(weightless, EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a"), host = "w")
+        fixture.submit("k", EngineFixture.item("b"))
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.map { it.item.value } == listOf("b") }).isTrue()
+    }
+
+    /** Guards against places of an upstream that are taken by runs that never reached it. */
+    @Test
+    fun `takes no place for an item that can not be sent`() {
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", *Array(4) { EngineFixture.item("a$it", HeaderField("no header name", "x")) })
+        fixture.activate()
+        fixture.submit("k", EngineFixture.item("b"))
+        expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.proposed.isNotEmpty() }).isTrue()
+    }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -130,8 +130,8 @@
     }
 
     /** Accepts a job with one item for each of [items]. */
-    fun submit(job: String, vararg items: BatchItem) =
-        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", items.toList())))
+    fun submit(job: String, vararg items: BatchItem, host: String = "h") =
+        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), host, "/s/", items.toList())))
 
     /** Lists [result] and says so. */
     fun record(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit) {
