Date jobs by the steady clock before their items are given up

Callers would see items listed as errored before their time (or kept too long) after a change of the leader: the age of a job was the wall time of the present leader less that of the leader that accepted it, and the wall clocks of this platform jump by seconds. Fix: each replica notes by its steady clock when it learned of a job. A job is at least that old, so no item is given up early; a replica that restarted may keep one longer, which is allowed. The wall clock only orders jobs. Evidence: 'gives up no item because the wall clock has jumped' and 'gives up an item that is surely old enough' fail on the engine before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -45,7 +45,8 @@
     private val dispatcher = ItemDispatcher(board)
     private val runs = ItemRuns(dialect.headers, calls, machine)
     private val recorder = ResultRecorder(log, metrics)
-    private val planner = JobPlanner(machine, wallMilliseconds, random)
+    private val ages = JobAges()
+    private val planner = JobPlanner(machine, ages, wallMilliseconds, random)
 
     /** Jobs whose items were given to the dispatcher. */
     private val begun = HashSet<JobIdentifier>()
@@ -80,6 +81,7 @@
     /** A job was accepted, got results or was ended. */
     fun onJob(record: JobRecord) {
         val identifier = record.job.identifier
+        if (record.isEnded) ages.forget(identifier) else ages.learn(identifier, clock())
         if (!isActive) return
         if (record.isEnded) {
             if (identifier in begun) end(identifier)
@@ -109,7 +111,10 @@
     private fun reconcile(now: Moment) {
         nextReconciliation = now + RECONCILIATION_INTERVAL
         val open = machine.jobs.filter { !it.isEnded }
-        (begun - open.map { it.job.identifier }.toSet()).forEach(::end)
+        val identifiers = open.map { it.job.identifier }.toSet()
+        identifiers.forEach { ages.learn(it, now) }
+        ages.retain(identifiers)
+        (begun - identifiers).forEach(::end)
         open.sortedBy { it.submittedMilliseconds }.forEach { beginGuarded(it, now) }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -27,6 +27,7 @@
 /** Says how items of jobs are to be run. All functions run on the engine's thread. */
 internal class JobPlanner(
     private val machine: ServiceStateMachine,
+    private val ages: JobAges,
     private val wallMilliseconds: () -> Long,
     private val random: Random,
 ) {
@@ -66,12 +67,14 @@
     }
 
     private fun work(record: JobRecord, route: Route, item: BatchItem, now: Moment): ItemWork {
-        val age = (wallMilliseconds() - record.submittedMilliseconds).coerceAtLeast(0).milliseconds
+        val age = ages.atLeast(record.job.identifier, now)
+        val wallAge = (wallMilliseconds() - record.submittedMilliseconds).milliseconds
         val text = keptTexts[item.identifier]
         return ItemWork(
             key = ItemKey(record.job.identifier.value, item.identifier),
             service = route.drawService(random),
-            dueAt = now + (route.batch?.due ?: route.timeout) - age,
+            // Only orders the jobs, for which a wall clock that has jumped does little harm.
+            dueAt = now + (route.batch?.due ?: route.timeout) - maxOf(age, wallAge),
             giveUpAt = now + (route.batch?.keep ?: route.timeout) - age,
             maximumFailures = route.maximumAttempts,
             group = item.group,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -6,6 +6,7 @@
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -117,4 +118,28 @@
         fixture.submit("k", EngineFixture.item("b"))
         expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.proposed.isNotEmpty() }).isTrue()
     }
+
+    /** Guards against an error that is listed before its time because the leaders' wall clocks differ. */
+    @Test
+    fun `gives up no item because the wall clock has jumped`() {
+        fixture.routes(EngineFixture.route(keep = 40.seconds))
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.wallJump = 60.seconds
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
+        expectThat(fixture.proposed.filter { !it.isCompleted }).isEmpty()
+    }
+
+    /** Guards against items that are kept for ever although their time is over. */
+    @Test
+    fun `gives up an item that is surely old enough`() {
+        fixture.routes(EngineFixture.route(keep = 40.seconds).copy(shares = EngineFixture.NO_UPSTREAMS))
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.advance = 30.seconds
+        fixture.activate()
+        expectThat(fixture.eventually(limit = 1.seconds) { fixture.proposed.isNotEmpty() }).isFalse()
+        fixture.advance = 41.seconds
+        expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
+        expectThat(fixture.proposed.single().isCompleted).isFalse()
+    }
 }
