Run no job by the terms of a plain route

Callers would see all open items of a job listed as errored within a second or two: when a configuration made the route of a job a plain one, the next leader gave the items up after the route's time-out for single requests. Fix: such a job has no route, as if the route were gone, and is begun when a route for jobs comes. Evidence: 'gives up no item by the time-out of a plain route' fails on the engine before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -149,7 +149,7 @@
 
     private fun routeOf(record: JobRecord): Route? {
         val job = record.job
-        val route = routes?.find(job.host, job.path)
+        val route = routes?.find(job.host, job.path)?.takeIf { it.batch != null }
         if (route == null && unrouted.add(job.identifier)) {
             logger.warn { "event=job-without-route job=${job.identifier} host=${job.host} path=${job.path}" }
             metrics.onEvent("job", "without_route")
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -67,6 +67,7 @@
     }
 
     private fun work(record: JobRecord, route: Route, item: BatchItem, now: Moment): ItemWork {
+        val batch = checkNotNull(route.batch) { "a job on the plain route ${route.name}" }
         val age = ages.atLeast(record.job.identifier, now)
         val wallAge = (wallMilliseconds() - record.submittedMilliseconds).milliseconds
         val text = keptTexts[item.identifier]
@@ -74,8 +75,8 @@
             key = ItemKey(record.job.identifier.value, item.identifier),
             service = route.drawService(random),
             // Only orders the jobs, for which a wall clock that has jumped does little harm.
-            dueAt = now + (route.batch?.due ?: route.timeout) - maxOf(age, wallAge),
-            giveUpAt = now + (route.batch?.keep ?: route.timeout) - age,
+            dueAt = now + batch.due - maxOf(age, wallAge),
+            giveUpAt = now + batch.keep - age,
             maximumFailures = route.maximumAttempts,
             group = item.group,
             isCarriedOver = text != null,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
@@ -142,4 +143,14 @@
         expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
         expectThat(fixture.proposed.single().isCompleted).isFalse()
     }
+
+    /** Guards against an error that is listed by the time-out of a route that is not meant for jobs. */
+    @Test
+    fun `gives up no item by the time-out of a plain route`() {
+        fixture.routes(EngineFixture.route(RouteKind.REPEATABLE).copy(shares = EngineFixture.NO_UPSTREAMS))
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.activate()
+        fixture.advance = 5.seconds
+        expectThat(fixture.eventually(limit = 1.seconds) { fixture.proposed.isNotEmpty() }).isFalse()
+    }
 }
