Give no weight order under the fence of an earlier term

Upstreams would see an order with a lower fence after a higher one, or, where they check none, two holders in turn: the leadership was confirmed before an order, but not that the fence is still the one under which it was decided. A replica that lost its leadership and won it again in between passed. Evidence: 'gives no order under the fence of an earlier term' failed before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -39,6 +39,7 @@
     private val metrics: GatewayMetrics,
 ) {
     /** Set while this replica leads. */
+    @Volatile
     var right: OrderRight? = null
 
     fun tick(needsSingleVersion: Boolean, openTokens: (ModelName) -> Long) {
@@ -63,8 +64,9 @@
 
     private suspend fun order(held: OrderRight, action: LoadAction.Order) {
         val upstream = action.upstream
-        // A replica that lost its leadership without noticing must not use its fence any more.
-        val answer = if (confirmLeadership()) send(held, action) else OrderAnswer.UNKNOWN
+        // A replica that lost its leadership without noticing must not use its fence any more, not even in a later term.
+        val mayOrder = confirmLeadership() && right == held
+        val answer = if (mayOrder) send(held, action) else OrderAnswer.UNKNOWN
         logger.info {
             "event=order-given upstream=${upstream.identity} model=${action.model} version=${action.version} " +
                 "mode=${action.mode} fence=${held.fence} expected-orders=${action.expectedOrders} answer=$answer"
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
@@ -0,0 +1,97 @@
+package org.zinniahoist.gateway.core
+
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FencingToken
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.UpstreamBoard
+import org.zinniahoist.policy.dispatch.UpstreamReport
+import org.zinniahoist.policy.dispatch.WeightLoader
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.containsExactly
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.seconds
+
+internal class WeightOrdersTest {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val thread = EngineThread()
+    private val calls = UpstreamCalls()
+    private val paths = CopyOnWriteArrayList<String>()
+    private val server = Server.builder()
+        .http(0)
+        .serviceUnder("/") { _, request ->
+            paths += request.path()
+            HttpResponse.of(HttpStatus.OK)
+        }
+        .build()
+    private val board = UpstreamBoard()
+    private val loader = WeightLoader(board)
+    private val metrics = GatewayMetrics()
+    private val first = OrderRight("m", FencingToken(1), from = Moment.ZERO)
+
+    @AfterEach
+    fun close() {
+        scope.cancel()
+        thread.close()
+        calls.close()
+        server.stop().join()
+    }
+
+    /** Orders a load while [afterConfirmation] happens between the confirmation of the leadership and the order. */
+    private fun order(afterConfirmation: (WeightOrders) -> Unit) {
+        server.start().join()
+        val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
+        val dialect = StubDialect(UpstreamReport(mapOf(MODEL to WeightVersion(1)), isBusy = false, acceptedOrders = 0))
+        lateinit var orders: WeightOrders
+        val confirm: suspend () -> Boolean = { true.also { afterConfirmation(orders) } }
+        orders = WeightOrders(dialect, calls, loader, scope, thread::post, { NOW }, confirm, metrics)
+        orders.right = first
+        val versions = mapOf(MODEL to WeightVersion(1))
+        board.relist(
+            listOf(ListedUpstream(UpstreamIdentity("u"), EngineFixture.SERVICE, endpoint, "a", 4, false, versions)),
+        )
+        loader.onNamed(MODEL, WeightVersion(2))
+        repeat(ATTEMPTS) {
+            thread.post { orders.tick(needsSingleVersion = false) { 0 } }
+            Thread.sleep(PAUSE_MILLISECONDS)
+            if ("event=\"order\"" in metrics.text()) return
+        }
+    }
+
+    /** Guards against an order that an earlier term decided, given under its fence after a newer one was drawn. */
+    @Test
+    fun `gives no order under the fence of an earlier term`() {
+        order { it.right = OrderRight("m", FencingToken(2), from = Moment.ZERO) }
+        expectThat(metrics.text()).contains("zinniahoist_events_total{event=\"order\",outcome=\"unknown\"} 1.0")
+        expectThat(paths.distinct()).containsExactly(StubDialect.REPORT)
+    }
+
+    /** Guards against a check of the fence that stops all orders. */
+    @Test
+    fun `gives an order under the present fence`() {
+        order { }
+        expectThat(paths.distinct()).containsExactly(StubDialect.REPORT, StubDialect.ORDER)
+    }
+
+    private companion object {
+        val MODEL = ModelName("m")
+        val NOW = Moment.ZERO + 60.seconds
+        const val ATTEMPTS = 200
+        const val PAUSE_MILLISECONDS = 25L
+    }
+}
