--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -111,7 +111,8 @@
 
     override fun restore(snapshot: ByteArray) {
         val state = StateCodec.decode<ServiceSnapshot>(snapshot)
-        jobsByIdentifier.clear()
+        // A reader on another thread must find a job that is in both states at any time.
+        jobsByIdentifier.keys.retainAll(state.jobs.map { it.job.identifier }.toSet())
         state.jobs.forEach { jobsByIdentifier[it.job.identifier] = it }
         namedVersions.putAll(state.versions)
         state.retirements.forEach { retiring[it.node] = it }
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
+import kotlin.concurrent.thread
 
 internal class ServiceStateMachineTest {
     private object Silent : ServiceListener {
@@ -103,6 +104,17 @@
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
     }
 
+    /** Guards against a 404 for an accepted job that is read while a snapshot is restored. */
+    @Test
+    fun `keeps a job readable while it is restored`() {
+        repeat(100) { submit("j$it") }
+        val snapshot = machine.snapshot()
+        var misses = 0
+        val restoring = thread { repeat(200) { machine.restore(snapshot) } }
+        while (restoring.isAlive) if (machine.job(JobIdentifier("j99")) == null) misses++
+        expectThat(misses).isEqualTo(0)
+    }
+
     /** Guards against a state that grows for ever. */
     @Test
     fun `forgets jobs after their retention`() {
