Go on reading the platform's list after a fault

The loop that reads the list on the leader had no guard: an exception would end it, and nothing would start it again, so that the leader and all entries would keep the list of that moment. No such exception has been seen, as decoders return null for what they can't read; no test covers the loop, which needs a group.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.core
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
@@ -122,11 +123,20 @@
 
     private suspend fun readList() {
         while (true) {
-            if (host().status.isLeader) listReader.read()?.let(::onList)
+            if (host().status.isLeader) readListOnce()
             delay(if (host().status.isLeader) LIST_INTERVAL else LEADER_CHECK)
         }
     }
 
+    /** A list that can't be read must not be the last one that is asked for. */
+    private suspend fun readListOnce() = try {
+        listReader.read()?.let(::onList) ?: Unit
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (fault: Exception) {
+        logger.error(fault) { "event=list-reading-failed" }
+    }
+
     private fun onList(entries: List<ListedUpstream>) {
         links.publish(entries)
         thread.post { engine.relist(entries) }
