Bound the bytes that are on the way to a replica without an answer

Cause: two voters had lost their disks. As they joined again, the leader sent each of them up to 32 appends of 1 MiB without an answer. Each append is held encoded, and compressed, by a link. The leader's replica ended with an OutOfMemoryError 1.9 s after it was elected; the emptied voters still counted, so no other replica could win.

Appends to one replica now stop at 4 MiB without an answer, whatever their number. A follower answers after each sync, so the bound leaves several round trips of data on the way; one append goes through at any size.

`bounds the bytes on the way to a replica` failed before with 16,777,216 bytes of commands on the way.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -24,8 +24,9 @@
     var lastContact: Moment = now
     var confirmedRound = 0L
 
-    /** Last indexes of the appends without an answer. */
-    val inflight = ArrayDeque<Long>()
+    /** Appends without an answer, in the order of their indexes. */
+    private val inflight = ArrayDeque<InflightAppend>()
+    private var inflightBytes = 0L
 
     /** True if nothing may be sent in the modes [Mode.PROBE] and [Mode.SNAPSHOT] until an answer or a heartbeat. */
     var waiting = false
@@ -40,15 +41,34 @@
     fun probeFrom(index: Long) {
         mode = Mode.PROBE
         nextIndex = maxOf(index, matchIndex + 1)
-        inflight.clear()
+        forgetInflight()
         waiting = false
         snapshot = null
     }
 
+    /** Records that [entries] were sent and may be followed by others. */
+    fun onSent(entries: List<LogEntry>) {
+        nextIndex += entries.size
+        val append = InflightAppend(nextIndex - 1, entries.sumOf { it.command?.size?.toLong() ?: 0 })
+        inflight += append
+        inflightBytes += append.bytes
+    }
+
+    /** Returns true if another append may be sent without an answer. */
+    fun hasRoom(options: ReplicaOptions): Boolean =
+        inflight.size < options.maximumInflightAppends && inflightBytes < options.maximumInflightBytes
+
+    fun forgetInflight() {
+        inflight.clear()
+        inflightBytes = 0
+    }
+
     fun acknowledge(index: Long) {
         matchIndex = maxOf(matchIndex, index)
         nextIndex = maxOf(nextIndex, matchIndex + 1)
-        while (inflight.isNotEmpty() && inflight.first() <= matchIndex) inflight.removeFirst()
+        while (inflight.isNotEmpty() && inflight.first().lastIndex <= matchIndex) {
+            inflightBytes -= inflight.removeFirst().bytes
+        }
     }
 
     /**
@@ -61,4 +81,9 @@
         catchUpTarget = lastIndex
         catchUpStart = now
     }
+
+    private class InflightAppend(
+        val lastIndex: Long,
+        val bytes: Long,
+    )
 }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
@@ -17,6 +17,8 @@
  * it stays below the 4 MiB of a frame on a link.
  * @property maximumCommandBytes larger commands are refused.
  * @property maximumInflightAppends append messages on the way to one replica without an answer.
+ * @property maximumInflightBytes bytes of commands on the way to one replica at which no more go without an answer.
+ * They wait in memory at both ends, once for each replica that catches up.
  * @property maximumUncommittedEntries proposals above this number of uncommitted entries are refused.
  * @property snapshotInterval applied entries after which a snapshot is taken.
  * @property trailingEntries entries kept in memory before a snapshot, for replicas that lag a little.
@@ -35,6 +37,7 @@
     public val maximumBatchBytes: Int = 1 shl 20,
     public val maximumCommandBytes: Int = 1 shl 20,
     public val maximumInflightAppends: Int = 32,
+    public val maximumInflightBytes: Long = 4L shl 20,
     public val maximumUncommittedEntries: Int = 50_000,
     public val snapshotInterval: Long = 200_000,
     public val trailingEntries: Long = 10_000,
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
@@ -27,8 +27,7 @@
             val entries = log.slice(peer.nextIndex, options.maximumBatchBytes)
             sendAppend(peer, entries, round)
             if (peer.mode == Progress.Mode.PIPELINE) {
-                peer.nextIndex += entries.size
-                peer.inflight += peer.nextIndex - 1
+                peer.onSent(entries)
             } else {
                 peer.waiting = true
             }
@@ -37,7 +36,7 @@
 
     private fun mayContinue(peer: Progress): Boolean = when (peer.mode) {
         Progress.Mode.PROBE -> !peer.waiting
-        Progress.Mode.PIPELINE -> peer.inflight.size < options.maximumInflightAppends
+        Progress.Mode.PIPELINE -> peer.hasRoom(options)
         Progress.Mode.SNAPSHOT -> false
     }
 
@@ -63,7 +62,7 @@
 
     private fun startSnapshot(peer: Progress, round: Long) {
         peer.mode = Progress.Mode.SNAPSHOT
-        peer.inflight.clear()
+        peer.forgetInflight()
         peer.snapshot = checkNotNull(log.snapshot) { "the log starts after index 1 without a snapshot" }
         peer.snapshotOffset = 0
         sendChunk(peer, round)
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -19,6 +19,8 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
+import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -105,6 +107,29 @@
             expectThat(replica.receive(2, AppendResponse(true, 2, 2, round))).contains(ReplicaAction.AnswerRead(5))
         }
 
+        /** Guards against a leader that runs out of memory while emptied replicas catch up. */
+        @Test
+        fun `bounds the bytes on the way to a replica`() {
+            val replica = leader()
+            replica.receive(1, AppendResponse(true, 2, 2, 0))
+            val sent = (1L..40L).flatMap { replica.propose(it, ByteArray(512 * 1_024)) }
+            expectThat(sent.commandBytesTo(1)).isLessThanOrEqualTo(5L shl 20)
+            val more = replica.receive(1, AppendResponse(true, sent.lastIndexTo(1), sent.lastIndexTo(1), 0))
+            expectThat(more.commandBytesTo(1)).isGreaterThan(0)
+        }
+
+        private fun Replica.propose(request: Long, command: ByteArray) =
+            step(ReplicaEvent.Propose(request, 1_000, command))
+
+        private fun List<ReplicaAction>.entriesTo(peer: Int): List<LogEntry> = filterIsInstance<ReplicaAction.Send>()
+            .filter { it.message.to == addresses[peer].identifier }
+            .flatMap { (it.message.content as? AppendRequest)?.entries.orEmpty() }
+
+        private fun List<ReplicaAction>.commandBytesTo(peer: Int): Long =
+            entriesTo(peer).sumOf { it.command?.size?.toLong() ?: 0 }
+
+        private fun List<ReplicaAction>.lastIndexTo(peer: Int): Long = entriesTo(peer).maxOf { it.index }
+
         /** Guards against state machines whose clock runs backwards when the wall clock is set back. */
         @Test
         fun `never stamps a smaller time`() {
