End the process of a core whose replica has stopped

Its folder is read again at the next start as after a crash.

The test `a replica that stops by itself reports why and can be opened again` can't be compiled on the code before, which had nobody to tell.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -26,6 +26,8 @@
  *
  * @param name name of the group, for the thread and log lines.
  * @param opened the folder of the replica; closed by [close].
+ * @param onFailure told once why the replica has stopped by itself. It votes and answers no more until the folder is
+ * opened again. Called from the thread of the replica; must not block.
  */
 public class GroupHost(
     private val name: String,
@@ -37,6 +39,7 @@
     private val clock: GroupClock = GroupClock.SYSTEM,
     random: Random = Random.Default,
     private val tickInterval: Duration = 20.milliseconds,
+    private val onFailure: (String) -> Unit = {},
 ) : AutoCloseable {
     private val storage = opened.storage
     private val replica = Replica(instance, options, opened.recovered, random, clock.now())
@@ -140,6 +143,7 @@
             requests.keys.forEach { number ->
                 requests.remove(number)?.let { it.fail(if (it.query == null) UNKNOWN else UNAVAILABLE) }
             }
+            status.failure?.let(onFailure)
         }
     }
 
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupHostTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupHostTest.kt
@@ -4,9 +4,13 @@
 import org.junit.jupiter.api.Test
 import org.zinniahoist.model.InstanceName
 import strikt.api.expectThat
+import strikt.assertions.contains
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNotNull
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration.Companion.milliseconds
 
 class GroupHostTest {
@@ -63,4 +67,20 @@
         expectThat(host.propose(ByteArray(1)).join()).isLeft().isA<GroupFailure.Unavailable>()
         expectThat(host.status.failure).isNotNull()
     }
+
+    /** Guards against a process that goes on without its replica, which is then lost to the group for good. */
+    @Test
+    fun `a replica that stops by itself reports why and can be opened again`() {
+        val reports = LinkedBlockingQueue<String>()
+        val group = LocalGroup({ stores[it] }, size = 1, options, reports::add)
+        expectThat(group.commit()).isEqualTo(1)
+        stores[0].freeBytes = 0
+        expectThat(group.awaitLeader().propose(ByteArray(1)).join()).isLeft().isA<GroupFailure.OutcomeUnknown>()
+        expectThat(reports.poll(5, TimeUnit.SECONDS)).isNotNull().contains("no space left")
+        stores[0].freeBytes = Long.MAX_VALUE
+        group.start(0)
+        expectThat(group.commit()).isEqualTo(2)
+        group.close()
+        expectThat(reports).isEmpty()
+    }
 }
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/LocalGroup.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/LocalGroup.kt
@@ -34,6 +34,7 @@
     private val stores: (Int) -> FileStore,
     size: Int,
     private val options: ReplicaOptions,
+    private val onFailure: (String) -> Unit = {},
 ) {
     private val instances = List(size) { InstanceName("n$it") }
     val hosts = ConcurrentHashMap<InstanceName, GroupHost>()
@@ -49,7 +50,9 @@
     fun start(number: Int): GroupHost {
         val opened = GroupStorage.open(stores(number), ReplicaIdentifier(100L + number)).getOrElse { error(it.message) }
         val name = instances[number]
-        return GroupHost("test", name, CountingMachine(), opened, ::deliver, options).also { hosts[name] = it }
+        val host = GroupHost("test", name, CountingMachine(), opened, ::deliver, options, onFailure = onFailure)
+        hosts[name] = host
+        return host
     }
 
     private fun deliver(to: InstanceName, message: ReplicaMessage) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/GatewayProcess.kt
@@ -16,14 +16,19 @@
     public fun stop()
 
     public companion object {
-        /** Returns the process for the role in [settings]. */
+        /**
+         * Returns the process for the role in [settings].
+         *
+         * @param onFailure told why the process can't go on and must be started again; must not block.
+         */
         public fun of(
             settings: GatewaySettings,
             dialect: PlatformDialect,
             clock: () -> Moment = { Moment(System.nanoTime()) },
+            onFailure: (String) -> Unit,
         ): GatewayProcess = when (settings.role) {
             GatewayRole.ENTRY -> EntryProcess(settings, dialect, clock)
-            GatewayRole.CORE -> CoreProcess(settings, dialect, clock)
+            GatewayRole.CORE -> CoreProcess(settings, dialect, clock, onFailure)
         }
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -61,6 +61,7 @@
     private val settings: GatewaySettings,
     private val dialect: PlatformDialect,
     private val clock: () -> Moment,
+    private val onFailure: (String) -> Unit,
 ) : GatewayProcess,
     ServiceListener {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -109,7 +110,7 @@
     private var lastIntroduced: Pair<Set<InstanceName>, Set<InstanceName>>? = null
 
     override fun start() {
-        host = ReplicaGroup.open(settings, machine, ReplicaTransport(links::send))
+        host = ReplicaGroup.open(settings, machine, ReplicaTransport(links::send), onFailure)
         retirements = Retirements(host, 2 * settings.toleratedLosses + 1)
         links.host = host
         runBlocking { linkServer.start() }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
@@ -34,14 +34,29 @@
     fun seedsOf(settings: GatewaySettings): Set<InstanceName> =
         settings.seeds.map { InstanceName("${it.host}:${settings.linkPort}") }.toSet()
 
-    fun open(settings: GatewaySettings, machine: StateMachine, transport: ReplicaTransport): GroupHost {
+    /** @param onFailure told once why the replica has stopped by itself. */
+    fun open(
+        settings: GatewaySettings,
+        machine: StateMachine,
+        transport: ReplicaTransport,
+        onFailure: (String) -> Unit,
+    ): GroupHost {
         val instance = instanceOf(settings)
         val folder = Path.of(checkNotNull(settings.dataFolder) { "a core needs a data folder" }).resolve(NAME)
         val files = DiskFileStore(folder)
         val seeds = seedsOf(settings)
         if (settings.firstStart && instance in seeds && files.list().isEmpty()) bootstrap(files, instance, seeds)
         val opened = GroupStorage.open(files, freshIdentifier(), SEGMENT_BYTES).getOrElse { fail(it) }
-        val host = GroupHost(NAME, instance, machine, opened, transport, optionsOf(settings), tickInterval = TICK)
+        val host = GroupHost(
+            NAME,
+            instance,
+            machine,
+            opened,
+            transport,
+            optionsOf(settings),
+            tickInterval = TICK,
+            onFailure = onFailure,
+        )
         host.introduce(seeds)
         return host
     }
