Core: say why the oldest waiting item is not running

An item that is not placed left no trace: the log showed the runs of an item, and nothing while it had none. The dispatcher now reports for each waiting item a typed reason (paused, no candidate, startable) and how many upstreams of its service are listed, usable, leaving, suspended, loading, without weights, without a place, or left out because of an earlier run.

The leader writes one line a second at most, for the item that has waited longest and over a second, and shows its age as a gauge. The age begins at the submission or the last event, so runs that bring nothing don't reset it.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -53,6 +53,7 @@
 ) {
     val board = UpstreamBoard()
     private val dispatcher = ItemDispatcher(board)
+    private val waits = WaitLog(metrics)
     private val runs = HashMap<Long, ItemRun>()
     private val keptTexts = LinkedHashMap<RequestIdentifier, ItemText>()
     private val known = HashSet<JobIdentifier>()
@@ -75,6 +76,7 @@
         isActive = false
         known.clear()
         carryOut(dispatcher.clear())
+        waits.clear()
     }
 
     /** A job was accepted, got results or was ended. */
@@ -167,7 +169,9 @@
     /** Carries out what is due now. */
     fun tick() {
         if (!isActive) return
-        carryOut(dispatcher.tick(clock()))
+        val now = clock()
+        carryOut(dispatcher.tick(now))
+        waits.observe(dispatcher.oldestWaiting(now), dispatcher.waitingItems, now)
     }
 
     private fun carryOut(actions: List<DispatchAction>) {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WaitLog.kt
@@ -0,0 +1,62 @@
+package org.zinniahoist.gateway.core
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.model.Moment
+import org.zinniahoist.policy.dispatch.WaitReason
+import org.zinniahoist.policy.dispatch.WaitReport
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/** Shows why the oldest waiting item is not running, as a gauge of its age and as a line when it waits long. */
+internal class WaitLog(
+    metrics: GatewayMetrics,
+    private val write: (String) -> Unit = { logger.info { it } },
+) {
+    /** Written on the engine's thread and read by the thread that answers for the metrics. */
+    @Volatile
+    private var oldest: Duration = Duration.ZERO
+    private var loggedAt: Moment? = null
+
+    init {
+        metrics.gauge(
+            "zinniahoist_oldest_waiting_item_seconds",
+            "Time since the oldest waiting item was handed in or had its last event, in seconds.",
+        ) { oldest.toDouble(DurationUnit.SECONDS) }
+    }
+
+    /** Notes the [report] of the oldest of [waiting] items at [now]; null if none waits. */
+    fun observe(report: WaitReport?, waiting: Int, now: Moment) {
+        oldest = report?.waited ?: Duration.ZERO
+        if (report == null || report.waited < LONG_WAIT) return
+        if (loggedAt?.let { now - it < LINE_INTERVAL } == true) return
+        loggedAt = now
+        write(line(report, waiting))
+    }
+
+    /** No item waits here any more, because this replica does not lead. */
+    fun clear() {
+        oldest = Duration.ZERO
+    }
+
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        private val LONG_WAIT = 1.seconds
+        private val LINE_INTERVAL = 1.seconds
+
+        /** Returns the log line of [report]. */
+        fun line(report: WaitReport, waiting: Int): String = with(report.upstreams) {
+            "event=item-waiting item=${report.key.item} job=${report.key.job} " +
+                "waited-ms=${report.waited.inWholeMilliseconds} ${describe(report.reason)} waiting=$waiting " +
+                "listed=$listed usable=$usable leaving=$leaving suspended=$suspended loading=$loading " +
+                "without-weights=$withoutWeights without-place=$withoutPlace avoided=$avoided"
+        }
+
+        private fun describe(reason: WaitReason): String = when (reason) {
+            is WaitReason.Paused -> "reason=paused paused-ms=${reason.remaining.inWholeMilliseconds}"
+            WaitReason.NoCandidate -> "reason=no-candidate"
+            WaitReason.Startable -> "reason=startable"
+        }
+    }
+}
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
@@ -43,7 +43,7 @@
     }
 
     /** Shows what [read] returns at each reading as the gauge [name]. */
-    fun gauge(name: String, help: String, read: () -> Int) {
+    fun gauge(name: String, help: String, read: () -> Number) {
         GaugeWithCallback.builder()
             .name(name)
             .help(help)
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WaitLogTest.kt
@@ -0,0 +1,57 @@
+package org.zinniahoist.gateway.core
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.policy.dispatch.ItemKey
+import org.zinniahoist.policy.dispatch.UpstreamCounts
+import org.zinniahoist.policy.dispatch.WaitReason
+import org.zinniahoist.policy.dispatch.WaitReport
+import strikt.api.expectThat
+import strikt.assertions.contains
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+internal class WaitLogTest {
+    private val counts = UpstreamCounts(listed = 9, usable = 1, suspended = 2, withoutPlace = 3, avoided = 1)
+
+    private fun report(waited: Int, reason: WaitReason = WaitReason.NoCandidate) =
+        WaitReport(ItemKey("j", RequestIdentifier("x")), waited.milliseconds, reason, counts)
+
+    /** Guards against a line that leaves out why the item waits. */
+    @Test
+    fun `the line states the reason and the counts`() {
+        expectThat(WaitLog.line(report(1_500), waiting = 4)).isEqualTo(
+            "event=item-waiting item=x job=j waited-ms=1500 reason=no-candidate waiting=4 listed=9 usable=1 " +
+                "leaving=0 suspended=2 loading=0 without-weights=0 without-place=3 avoided=1",
+        )
+        expectThat(WaitLog.line(report(1_500, WaitReason.Paused(30.milliseconds)), waiting = 4))
+            .contains("reason=paused paused-ms=30 ")
+    }
+
+    /** Guards against a log that is flooded while many items wait, and against short waits in it. */
+    @Test
+    fun `one line a second at most, for long waits only`() {
+        val lines = ArrayList<String>()
+        val log = WaitLog(GatewayMetrics(), lines::add)
+        log.observe(report(900), waiting = 1, Moment.ZERO)
+        repeat(40) { log.observe(report(1_000 + 50 * it), waiting = 1, Moment.ZERO + (50 * it).milliseconds) }
+        expectThat(lines.size).isEqualTo(2)
+    }
+
+    /** Guards against a gauge that shows an item which no longer waits, or which another replica runs. */
+    @Test
+    fun `the gauge follows the oldest item`() {
+        val metrics = GatewayMetrics()
+        val log = WaitLog(metrics)
+        log.observe(report(2_500), waiting = 1, Moment.ZERO)
+        expectThat(metrics.text()).contains("zinniahoist_oldest_waiting_item_seconds 2.5")
+        log.clear()
+        expectThat(metrics.text()).contains("zinniahoist_oldest_waiting_item_seconds 0.0")
+        log.observe(report(2_500), waiting = 1, Moment.ZERO + 1.seconds)
+        log.observe(report = null, waiting = 0, Moment.ZERO + 2.seconds)
+        expectThat(metrics.text()).contains("zinniahoist_oldest_waiting_item_seconds 0.0")
+    }
+}
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -51,6 +51,14 @@
     public fun openTokens(model: ModelName): Long =
         items.values.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
 
+    /** Returns why the item with [key] is not running at [now], or null if it runs or is not known. */
+    public fun waitReport(key: ItemKey, now: Moment): WaitReport? =
+        items[key]?.takeIf { it.run == null }?.let { reportOf(it, now) }
+
+    /** Returns the report of the item that has waited longest at [now], or null if none waits. */
+    public fun oldestWaiting(now: Moment): WaitReport? =
+        waiting.minByOrNull { it.waitingSince ?: now }?.let { reportOf(it, now) }
+
     /** Adds items; those that are known already are left as they are. */
     public fun submit(work: List<ItemWork>) {
         for (item in work) {
@@ -113,6 +121,7 @@
         current.events++
         current.lastProgress = now
         state.fruitlessRuns = 0
+        state.waitingSince = null
         board.onSuccess(current.upstream)
         val longer = state.text.plus(number, data, current.version)
         if (longer.fits(state.work.terms)) {
@@ -153,6 +162,7 @@
         val actions = ArrayList<DispatchAction>()
         val still = ArrayList<ItemState>()
         for (state in waiting) {
+            if (state.waitingSince == null) state.waitingSince = now
             val card = if (state.notBefore?.let { now < it } == true) null else choose(state, now)
             if (card == null) still += state else actions += start(state, card, now)
         }
@@ -173,11 +183,42 @@
     private fun choose(state: ItemState, now: Moment, avoided: UpstreamIdentity? = state.lastUpstream): UpstreamCard? {
         val usable = board.usable(state.work.service, now)
         return usable
-            .filter { it.inFlight < it.listed.slots && !it.isLoading && hasWeights(it, state.work.terms) }
+            .filter { canRun(it, state.work) }
             .filter { it.listed.identity != avoided || usable.size == 1 }
             .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
     }
 
+    private fun canRun(card: UpstreamCard, work: ItemWork): Boolean =
+        card.inFlight < card.listed.slots && !card.isLoading && hasWeights(card, work.terms)
+
+    private fun reportOf(state: ItemState, now: Moment): WaitReport {
+        val pausedUntil = state.notBefore?.takeIf { now < it }
+        val reason = when {
+            pausedUntil != null -> WaitReason.Paused(pausedUntil - now)
+            choose(state, now) == null -> WaitReason.NoCandidate
+            else -> WaitReason.Startable
+        }
+        val waited = state.waitingSince?.let { now - it } ?: Duration.ZERO
+        return WaitReport(state.work.key, waited, reason, countsFor(state, now))
+    }
+
+    private fun countsFor(state: ItemState, now: Moment): UpstreamCounts {
+        val work = state.work
+        val listed = board.all.filter { it.listed.service == work.service }
+        val candidates = board.usable(work.service, now)
+        val usable = candidates.filter { canRun(it, work) }
+        return UpstreamCounts(
+            listed = listed.size,
+            usable = usable.size,
+            leaving = listed.count { it.listed.isLeaving },
+            suspended = listed.count { board.isSuspended(it, now) },
+            loading = listed.count { it.isLoading },
+            withoutWeights = listed.count { !hasWeights(it, work.terms) },
+            withoutPlace = listed.count { it.inFlight >= it.listed.slots },
+            avoided = usable.count { it.listed.identity == state.lastUpstream && candidates.size > 1 },
+        )
+    }
+
     private fun hasWeights(card: UpstreamCard, terms: DraftTerms?): Boolean {
         if (terms == null) return true
         val version = card.version(terms.model) ?: return false
@@ -276,6 +317,9 @@
         var text = work.text
         var run: RunState? = null
         var notBefore: Moment? = null
+
+        /** First tick that found the item waiting after its submission or its last event. */
+        var waitingSince: Moment? = null
         var lastUpstream: UpstreamIdentity? = null
         var failures = 0
         var fruitlessRuns = 0
