Dispatch: place an item again when only its last upstream can run it

What callers saw: an item under which upstreams had crashed was not run again although upstreams were up and empty; its step ran out of time.

Cause: the choice left out the upstream on which the item last broke for good, unless it was the only usable one, while the choice itself asked for a place, the weights and no load as well. The pause of a suspected item (4 s) came again with each run that broke or stalled without an event, on top of a silence of up to 4 s. An upstream that refused an item stayed empty and was chosen again each time. A slow stream could be moved to the upstream on which it ran.

An avoidance is now a preference, decided among the upstreams that could be chosen at that moment, and ends after 3 s. The pause of a suspect grows from 0.25 s to 1 s and bounds how often one item can crash an upstream; the longest silence is 2.5 s.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -8,22 +8,31 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Times and limits of an [ItemDispatcher]. */
+/**
+ * Times and limits of an [ItemDispatcher].
+ *
+ * An item may be at no sound upstream for the longest silence and the longest pause of a suspect together; the platform
+ * allows 5 s.
+ */
 public data class DispatchOptions(
     /** Silence of a stream after which its item moves to another upstream; doubled with each move of the item. */
     public val stallLimit: Duration = 700.milliseconds,
     /** Longest silence that is borne. */
-    public val longestStallLimit: Duration = 4_000.milliseconds,
+    public val longestStallLimit: Duration = 2_500.milliseconds,
     /** Added to the limits while the upstream loads weights, during which its streams stand still. */
     public val loadAllowance: Duration = 1_500.milliseconds,
     /** A stream moves if its upstream is slower than the others by this factor. */
     public val slowFactor: Double = 2.5,
     /** Runs in a row that broke without an event, after which an item is suspected to crash upstreams. */
     public val suspicionLimit: Int = 3,
-    /** Pause before a suspected item is tried again. */
-    public val suspicionPause: Duration = 4_000.milliseconds,
+    /** Pause before a suspected item is tried again; doubled with each further run that breaks without an event. */
+    public val suspicionPause: Duration = 250.milliseconds,
+    /** Bounds the pause of a suspected item, and with it how often one item can crash an upstream. */
+    public val longestSuspicionPause: Duration = 1_000.milliseconds,
     /** Pause after an upstream refused an item. */
     public val refusalPause: Duration = 60.milliseconds,
+    /** Time for which an item prefers other upstreams to one that broke, failed or refused its run. */
+    public val avoidance: Duration = 3_000.milliseconds,
 )
 
 /**
@@ -63,7 +72,8 @@
     public fun submit(work: List<ItemWork>) {
         for (item in work) {
             if (item.key in items) continue
-            val state = ItemState(if (item.text.fits(item.terms)) item else item.copy(text = ItemText()))
+            val work = if (item.text.fits(item.terms)) item else item.copy(text = ItemText())
+            val state = ItemState(work, AvoidedUpstreams(options.avoidance))
             items[item.key] = state
             waiting += state
         }
@@ -141,7 +151,7 @@
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
-            is RunEnd.NotRun -> emptyList<DispatchAction>().also { requeue(state, now + options.refusalPause) }
+            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryElsewhere(state, current, now) }
             is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
         }
     }
@@ -180,13 +190,9 @@
     }
 
     /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun choose(state: ItemState, now: Moment, avoided: UpstreamIdentity? = state.lastUpstream): UpstreamCard? {
-        val usable = board.usable(state.work.service, now)
-        return usable
-            .filter { canRun(it, state.work) }
-            .filter { it.listed.identity != avoided || usable.size == 1 }
+    private fun choose(state: ItemState, now: Moment): UpstreamCard? =
+        state.avoided.prefer(board.candidates(state.work.service, now) { canRun(it, state.work) }, now)
             .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
-    }
 
     private fun canRun(card: UpstreamCard, work: ItemWork): Boolean =
         card.inFlight < card.listed.slots && !card.isLoading && hasWeights(card, work.terms)
@@ -205,8 +211,7 @@
     private fun countsFor(state: ItemState, now: Moment): UpstreamCounts {
         val work = state.work
         val listed = board.all.filter { it.listed.service == work.service }
-        val candidates = board.usable(work.service, now)
-        val usable = candidates.filter { canRun(it, work) }
+        val usable = board.candidates(work.service, now) { canRun(it, work) }
         return UpstreamCounts(
             listed = listed.size,
             usable = usable.size,
@@ -215,7 +220,7 @@
             loading = listed.count { it.isLoading },
             withoutWeights = listed.count { !hasWeights(it, work.terms) },
             withoutPlace = listed.count { it.inFlight >= it.listed.slots },
-            avoided = usable.count { it.listed.identity == state.lastUpstream && candidates.size > 1 },
+            avoided = usable.count { state.avoided.holds(it, now) },
         )
     }
 
@@ -234,9 +239,12 @@
         if (card == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
         if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
-        return waiting.isEmpty() && choose(state, now, avoided = run.upstream) != null
+        return waiting.isEmpty() && hasAlternative(state.work, run.upstream, now)
     }
 
+    private fun hasAlternative(work: ItemWork, present: UpstreamIdentity, now: Moment): Boolean =
+        board.usable(work.service, now).any { it.listed.identity != present && canRun(it, work) }
+
     private fun breakOff(
         state: ItemState,
         reason: String,
@@ -255,9 +263,21 @@
             state.fruitlessRuns++
             board.onFailure(run.upstream, now)
         }
-        state.lastUpstream = run.upstream
-        val isSuspect = state.fruitlessRuns >= options.suspicionLimit
-        requeue(state, if (isSuspect) now + options.suspicionPause else null)
+        state.avoided.add(run.upstream, now)
+        requeue(state, suspicionPause(state.fruitlessRuns)?.let { now + it })
+    }
+
+    /** Returns the pause after [fruitlessRuns] in a row, or null if the item is not suspected. */
+    private fun suspicionPause(fruitlessRuns: Int): Duration? {
+        val doublings = fruitlessRuns - options.suspicionLimit
+        if (doublings < 0) return null
+        val pause = options.suspicionPause * (1 shl doublings.coerceAtMost(MAXIMUM_DOUBLINGS))
+        return minOf(pause, options.longestSuspicionPause)
+    }
+
+    private fun retryElsewhere(state: ItemState, run: RunState, now: Moment) {
+        state.avoided.add(run.upstream, now)
+        requeue(state, now + options.refusalPause)
     }
 
     private fun requeue(state: ItemState, notBefore: Moment?) {
@@ -278,8 +298,7 @@
         state.failures++
         state.text = ItemText()
         if (state.failures >= state.work.maximumFailures) return finish(state, isCompleted = false, "failed too often")
-        state.lastUpstream = run.upstream
-        requeue(state, now + options.refusalPause)
+        retryElsewhere(state, run, now)
         return emptyList()
     }
 
@@ -313,14 +332,16 @@
         var version: WeightVersion? = null
     }
 
-    private class ItemState(val work: ItemWork) {
+    private class ItemState(
+        val work: ItemWork,
+        val avoided: AvoidedUpstreams,
+    ) {
         var text = work.text
         var run: RunState? = null
         var notBefore: Moment? = null
 
         /** First tick that found the item waiting after its submission or its last event. */
         var waitingSince: Moment? = null
-        var lastUpstream: UpstreamIdentity? = null
         var failures = 0
         var fruitlessRuns = 0
         var moves = 0
@@ -330,6 +351,7 @@
     private companion object {
         /** Keeps an item from moving before the pace of its upstream is known. */
         val MINIMUM_STAY = 300.milliseconds
+        const val MAXIMUM_DOUBLINGS = 5
 
         val URGENCY: Comparator<ItemState> = compareBy<ItemState>(
             { it.work.dueAt },
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -26,6 +26,7 @@
     internal var eventMilliseconds: Double = UNKNOWN_PACE
     internal var failures = 0
     internal var suspendedUntil: Moment? = null
+    internal var failedAt: Moment? = null
     private val versions = HashMap(listed.versions)
 
     /** Models of which the upstream has weights. */
@@ -81,6 +82,19 @@
         it.listed.service == service && !it.listed.isLeaving && !isSuspended(it, now)
     }
 
+    /**
+     * Returns the upstreams of [service] among which a run may be placed at [now], of those that [canRun] it.
+     *
+     * If all of these are suspended, one run at a time finds out whether an upstream is back.
+     */
+    public fun candidates(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
+        val able = cards.values.filter { it.listed.service == service && !it.listed.isLeaving && canRun(it) }
+        return able.filterNot { isSuspended(it, now) }.ifEmpty { able.filter { mayProbe(it, now) } }
+    }
+
+    private fun mayProbe(card: UpstreamCard, now: Moment): Boolean =
+        card.inFlight == 0 && card.failedAt?.let { now - it >= firstSuspension } != false
+
     /** Returns true while [card] is avoided because of its failures. */
     public fun isSuspended(card: UpstreamCard, now: Moment): Boolean = card.suspendedUntil?.let { now < it } == true
 
@@ -89,6 +103,7 @@
         val card = cards[identity] ?: return
         val doublings = card.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
         card.failures++
+        card.failedAt = now
         card.suspendedUntil = now + minOf(firstSuspension * (1 shl doublings), longestSuspension)
     }
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WaitReport.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WaitReport.kt
@@ -27,13 +27,13 @@
 public data class UpstreamCounts(
     /** Upstreams of the service in the latest list. */
     public val listed: Int = 0,
-    /** Upstreams that could run the item now, if none were avoided. */
+    /** Upstreams among which the item may be placed now. */
     public val usable: Int = 0,
     public val leaving: Int = 0,
     public val suspended: Int = 0,
     public val loading: Int = 0,
     public val withoutWeights: Int = 0,
     public val withoutPlace: Int = 0,
-    /** Usable upstreams that are left out because of an earlier run of the item. */
+    /** Usable upstreams that come after the others because of an earlier run of the item. */
     public val avoided: Int = 0,
 )
