Entry: ask the only upstream left again after a refusal or a lost answer

What callers saw: a request was refused with 503, or failed with 502, although the only upstream of its service would have served it a moment later, with time and attempts left.

Cause: an upstream that a request had used was left out for good, so a service with fewer upstreams than the route allows attempts ended each request early.

A used upstream now comes after those that were not used, and is asked again 50 ms after its refusal or the loss of its answer, when no attempt is running and before the deadline. The number of attempts is bounded by maxAttempts, so a request never runs on more upstreams than that. A second attempt that starts beside the first still goes elsewhere only; an answer of 5xx is passed on as before; a request that may run once is sent again only after an upstream has said that it did not run it.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -7,9 +7,11 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.gateway.dialect.HeaderNames
@@ -24,6 +26,7 @@
 import org.zinniahoist.policy.routes.drawService
 import kotlin.random.Random
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 
 /** A request of a client on its way to an upstream. */
 internal class ForwardedRequest(
@@ -75,44 +78,60 @@
         private val service = route.drawService(random)
         private val used = HashSet<UpstreamIdentity>()
         private val outcomes = Channel<Outcome>(Channel.UNLIMITED)
+        private val jobs = ArrayList<Job>()
         private var running = 0
+        private var attempts = 0
         private var failed: Outcome.Failed? = null
         private var lost: Outcome.Lost? = null
 
         suspend fun run(): Forwarded = coroutineScope {
-            val jobs = ArrayList<Job>()
-            fun startNext(): Boolean {
-                val upstream = next() ?: return false
-                running++
-                jobs += launch { outcomes.send(attempt(upstream, used.size)) }
-                return true
-            }
-            if (!startNext()) return@coroutineScope Forwarded.NotRun("no upstream of $service")
-            val result = settle(::startNext)
+            val result = if (startNext()) settle() else Forwarded.NotRun("no upstream of $service")
             jobs.forEach { it.cancel() }
             result
         }
 
-        private suspend fun settle(startNext: () -> Boolean): Forwarded {
+        /** Starts an attempt at an upstream that was not used yet. Returns false if there is none. */
+        private fun CoroutineScope.startNext(): Boolean {
+            val upstream = upstreams.choose(service, used) ?: return false
+            startAt(upstream)
+            return true
+        }
+
+        private fun CoroutineScope.startAt(upstream: ListedUpstream) {
+            used += upstream.identity
+            running++
+            attempts++
+            val number = attempts
+            jobs += launch { outcomes.send(attempt(upstream, number)) }
+        }
+
+        /** Prefers an upstream that was not used; one that was is asked again only after a pause. */
+        private suspend fun CoroutineScope.retry() {
+            if (attempts >= route.maximumAttempts || startNext() || !mayReuse()) return
+            delay(REUSE_PAUSE)
+            if (!startNext()) upstreams.choose(service, emptySet())?.let { startAt(it) }
+        }
+
+        private suspend fun CoroutineScope.settle(): Forwarded {
             while (running > 0) {
-                val mayHedge = isRepeatable && running == 1 && used.size < route.maximumAttempts
+                val mayHedge = isRepeatable && running == 1 && attempts < route.maximumAttempts
                 val outcome = if (mayHedge) {
                     withTimeoutOrNull(route.target * HEDGE_SHARE) { outcomes.receive() }
                 } else {
                     outcomes.receive()
                 }
                 if (outcome == null) {
-                    if (!startNext()) return finish(outcomes.receive(), startNext) ?: continue
-                    logger.info { "event=hedged request=${request.identifier} attempts=${used.size}" }
+                    if (!startNext()) return finish(outcomes.receive()) ?: continue
+                    logger.info { "event=hedged request=${request.identifier} attempts=$attempts" }
                     continue
                 }
-                finish(outcome, startNext)?.let { return it }
+                finish(outcome)?.let { return it }
             }
             return unanswered()
         }
 
         /** Returns the result, or null if attempts go on. */
-        private fun finish(outcome: Outcome, startNext: () -> Boolean): Forwarded? {
+        private suspend fun CoroutineScope.finish(outcome: Outcome): Forwarded? {
             running--
             val mayRepeat = when (outcome) {
                 is Outcome.Sound -> return Forwarded.Answer(outcome.answer)
@@ -123,18 +142,19 @@
 
                 is Outcome.Lost -> isRepeatable.also { lost = outcome }
             }
-            if (mayRepeat && used.size < route.maximumAttempts) startNext()
+            if (mayRepeat) retry()
             return null
         }
 
+        /** An upstream that answered with a failure has its say; one that refused or lost the request may be back. */
+        private fun mayReuse(): Boolean = running == 0 && failed == null && clock() + REUSE_PAUSE < request.deadline
+
         private fun unanswered(): Forwarded {
             failed?.let { return Forwarded.Answer(it.answer) }
             lost?.let { return Forwarded.NoAnswer(it.cause) }
-            return Forwarded.NotRun("refused by ${used.size} upstreams")
+            return Forwarded.NotRun("refused in $attempts attempts by ${used.size} upstreams")
         }
 
-        private fun next(): ListedUpstream? = upstreams.choose(service, used)?.also { used += it.identity }
-
         private suspend fun attempt(upstream: ListedUpstream, number: Int): Outcome {
             val start = clock()
             var isSound = false
@@ -181,6 +201,9 @@
 
         /** An answer that takes longer than this share of the target is worth a second attempt elsewhere. */
         private const val HEDGE_SHARE = 0.45
+
+        /** Time after which an upstream that refused or lost a request is asked again, if it is the only one left. */
+        val REUSE_PAUSE: Duration = 50.milliseconds
         private const val BAD_REQUEST = 400
         private const val MISDIRECTED = 421
         private const val SERVER_FAILURE = 500
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -15,6 +15,7 @@
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.policy.routes.drawService
 import kotlin.random.Random
@@ -55,12 +56,14 @@
     suspend fun forward(request: ForwardedRequest): ForwardedStream {
         val service = request.route.drawService(random)
         val used = HashSet<UpstreamIdentity>()
-        while (used.size < request.route.maximumAttempts) {
-            val upstream = upstreams.choose(service, used) ?: break
+        var attempts = 0
+        while (attempts < request.route.maximumAttempts) {
+            val upstream = upstreams.choose(service, used) ?: chooseAgain(request, service, attempts) ?: break
             used += upstream.identity
+            attempts++
             val attempt = attempt(request, upstream)
             logger.info {
-                "event=stream request=${request.identifier} upstream=${upstream.identity} attempt=${used.size} " +
+                "event=stream request=${request.identifier} upstream=${upstream.identity} attempt=$attempts " +
                     "outcome=${describe(attempt)}"
             }
             when (attempt) {
@@ -69,7 +72,14 @@
                 is Attempt.NotRun -> Unit
             }
         }
-        return ForwardedStream.NotRun("refused by ${used.size} upstreams of $service")
+        return ForwardedStream.NotRun("refused in $attempts attempts by ${used.size} upstreams of $service")
+    }
+
+    /** After a pause returns an upstream that may have been used, as there is no other; null if no time remains. */
+    private suspend fun chooseAgain(request: ForwardedRequest, service: ServiceName, attempts: Int): ListedUpstream? {
+        if (attempts == 0 || clock() + Forwarder.REUSE_PAUSE >= request.deadline) return null
+        delay(Forwarder.REUSE_PAUSE)
+        return upstreams.choose(service, emptySet())
     }
 
     private fun describe(attempt: Attempt): String = when (attempt) {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
@@ -95,4 +95,16 @@
         val failure = runCatching { begun.response.aggregate().await() }.exceptionOrNull()
         expectThat(failure != null).isTrue()
     }
+
+    /** Guards against a stream that is refused although the only upstream left would run it a moment later. */
+    @Test
+    fun `the only upstream left is asked again after a refusal`(): Unit = runBlocking {
+        val refused = fixture.head(UpstreamFixture.Names.notRun to "1", status = HttpStatus.SERVICE_UNAVAILABLE)
+        fixture.upstreamOfAnswers(
+            HttpResponse.of(refused),
+            HttpResponse.of(fixture.head(), HttpData.ofUtf8("data: b\n\n")),
+        )
+        val begun = forward() as ForwardedStream.Begun
+        expectThat(begun.response.aggregate().await().contentUtf8()).isEqualTo("data: b\n\n")
+    }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -16,6 +16,7 @@
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.policy.routes.ServiceShare
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
@@ -40,6 +41,12 @@
         upstreams.listed += ListedUpstream(identity, SERVICE, endpoint, "a", slots = 1, isLeaving = false, emptyMap())
     }
 
+    /** An upstream that gives [answers] one after the other. */
+    fun upstreamOfAnswers(vararg answers: HttpResponse) {
+        val left = ConcurrentLinkedQueue(answers.toList())
+        upstream { left.remove() }
+    }
+
     fun request(kind: RouteKind, within: Duration = 10.seconds): ForwardedRequest {
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
         return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind), clock() + within)
