Dispatch: part the placement of items from their bookkeeping

ItemTable keeps the items, the queue and the runs; ItemPlacement chooses upstreams, decides which run moves, and reports waits; ItemDispatcher turns events into actions. DispatchOptions has a file of its own. No change of behaviour; the tests are unchanged.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -3,37 +3,8 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
-import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-/**
- * Times and limits of an [ItemDispatcher].
- *
- * An item may be at no sound upstream for the longest silence and the longest pause of a suspect together; the platform
- * allows 5 s.
- */
-public data class DispatchOptions(
-    /** Silence of a stream after which its item moves to another upstream; doubled with each move of the item. */
-    public val stallLimit: Duration = 700.milliseconds,
-    /** Longest silence that is borne. */
-    public val longestStallLimit: Duration = 2_500.milliseconds,
-    /** Added to the limits while the upstream loads weights, during which its streams stand still. */
-    public val loadAllowance: Duration = 1_500.milliseconds,
-    /** A stream moves if its upstream is slower than the others by this factor. */
-    public val slowFactor: Double = 2.5,
-    /** Runs in a row that broke without an event, after which an item is suspected to crash upstreams. */
-    public val suspicionLimit: Int = 3,
-    /** Pause before a suspected item is tried again; doubled with each further run that breaks without an event. */
-    public val suspicionPause: Duration = 250.milliseconds,
-    /** Bounds the pause of a suspected item, and with it how often one item can crash an upstream. */
-    public val longestSuspicionPause: Duration = 1_000.milliseconds,
-    /** Pause after an upstream refused an item. */
-    public val refusalPause: Duration = 60.milliseconds,
-    /** Time for which an item prefers other upstreams to one that broke, failed or refused its run. */
-    public val avoidance: Duration = 3_000.milliseconds,
-)
 
 /**
  * Decides which item runs on which upstream, and what becomes of broken runs.
@@ -45,64 +16,55 @@
     public val board: UpstreamBoard = UpstreamBoard(),
     private val options: DispatchOptions = DispatchOptions(),
 ) {
-    private val items = LinkedHashMap<ItemKey, ItemState>()
-    private val runs = HashMap<Long, ItemState>()
-    private var waiting = ArrayList<ItemState>()
-    private var nextRun = 1L
+    private val table = ItemTable(board)
+    private val placement = ItemPlacement(board, options)
 
     /** Items that wait for a place. */
-    public val waitingItems: Int get() = waiting.size
+    public val waitingItems: Int get() = table.waitingItems.size
 
     /** Runs in progress. */
-    public val runningItems: Int get() = runs.size
+    public val runningItems: Int get() = table.runningItems.size
 
     /** Returns the expected tokens of all items of [model] that are not finished. */
     public fun openTokens(model: ModelName): Long =
-        items.values.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
+        table.all.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
 
     /** Returns why the item with [key] is not running at [now], or null if it runs or is not known. */
     public fun waitReport(key: ItemKey, now: Moment): WaitReport? =
-        items[key]?.takeIf { it.run == null }?.let { reportOf(it, now) }
+        table.item(key)?.takeIf { it.run == null }?.let { placement.report(it, now) }
 
     /** Returns the report of the item that has waited longest at [now], or null if none waits. */
     public fun oldestWaiting(now: Moment): WaitReport? =
-        waiting.minByOrNull { it.waitingSince ?: now }?.let { reportOf(it, now) }
+        table.waitingItems.minByOrNull { it.waitingSince ?: now }?.let { placement.report(it, now) }
 
     /** Adds items; those that are known already are left as they are. */
     public fun submit(work: List<ItemWork>) {
-        for (item in work) {
-            if (item.key in items) continue
-            val work = if (item.text.fits(item.terms)) item else item.copy(text = ItemText())
-            val state = ItemState(work, AvoidedUpstreams(options.avoidance))
-            items[item.key] = state
-            waiting += state
+        val added = work.filter { table.item(it.key) == null }.distinctBy { it.key }.map { item ->
+            val fitting = if (item.text.fits(item.terms)) item else item.copy(text = ItemText())
+            ItemState(fitting, AvoidedUpstreams(options.avoidance))
         }
-        waiting.sortWith(URGENCY)
+        table.add(added)
     }
 
     /** Forgets all items of [job] and ends their runs. Returns the text of those that were not finished. */
     public fun cancelJob(job: String): CancelledJob {
-        val cancelled = items.values.filter { it.work.key.job == job }
-        val aborts = cancelled.mapNotNull { state -> state.run?.let { release(it) } }
-        cancelled.forEach { items.remove(it.work.key) }
-        waiting.removeAll(cancelled.toSet())
+        val cancelled = table.all.filter { it.work.key.job == job }
+        val aborts = cancelled.mapNotNull { state -> state.run?.let(table::release) }
+        table.remove(cancelled)
         val texts = cancelled.filter { it.text.events.isNotEmpty() }.associate { it.work.key.item to it.text }
         return CancelledJob(aborts.map { DispatchAction.Abort(it, "job ended") }, texts)
     }
 
     /** Ends everything, because this process no longer decides. */
     public fun clear(): List<DispatchAction.Abort> {
-        val aborts = runs.keys.map { DispatchAction.Abort(it, "leadership lost") }
-        items.clear()
-        runs.clear()
-        waiting = ArrayList()
-        board.all.forEach { it.inFlight = 0 }
+        val aborts = table.runNumbers.map { DispatchAction.Abort(it, "leadership lost") }
+        table.clear()
         return aborts
     }
 
     /** The answer of [run] began. Returns an abort if its weights are too old for the item. */
     public fun onBegin(run: Long, version: WeightVersion?, now: Moment): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         current.version = version
         current.lastProgress = now
@@ -122,7 +84,7 @@
         version: WeightVersion?,
         now: Moment,
     ): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         val expected = state.text.lastNumber?.plus(1)
         if (expected != null && number != expected) return breakOff(state, "event $number is not $expected", now)
@@ -144,9 +106,9 @@
 
     /** The [run] ended. */
     public fun onEnd(run: Long, end: RunEnd, now: Moment): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
-        release(current)
+        table.release(current)
         return when (end) {
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
@@ -159,92 +121,17 @@
     /** Starts what can be started, moves what has stalled, gives up what is too old. */
     public fun tick(now: Moment): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
-        for (state in items.values.toList()) {
+        for (state in table.all.toList()) {
             if (now >= state.work.giveUpAt) actions += giveUp(state)
         }
-        for (state in runs.values.toList()) if (isToMove(state, now)) actions += breakOff(state, "stalled", now)
-        actions += startWaiting(now)
-        return actions
-    }
-
-    private fun startWaiting(now: Moment): List<DispatchAction> {
-        if (waiting.isEmpty()) return emptyList()
-        val actions = ArrayList<DispatchAction>()
-        val still = ArrayList<ItemState>()
-        for (state in waiting) {
-            if (state.waitingSince == null) state.waitingSince = now
-            val card = if (state.notBefore?.let { now < it } == true) null else choose(state, now)
-            if (card == null) still += state else actions += start(state, card, now)
+        for (state in table.runningItems.toList()) {
+            if (placement.isToMove(state, waitingItems > 0, now)) actions += breakOff(state, "stalled", now)
         }
-        waiting = still
+        table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
+        actions += table.startWaiting(now) { placement.choose(it, now) }
         return actions
     }
 
-    private fun start(state: ItemState, card: UpstreamCard, now: Moment): DispatchAction {
-        val run = nextRun++
-        card.inFlight++
-        state.restart = false
-        state.run = RunState(run, card.listed.identity, startedAt = now, lastProgress = now)
-        runs[run] = state
-        return DispatchAction.Start(run, state.work.key, card.listed, state.text.lastNumber)
-    }
-
-    /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun choose(state: ItemState, now: Moment): UpstreamCard? =
-        state.avoided.prefer(board.candidates(state.work.service, now) { canRun(it, state.work) }, now)
-            .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
-
-    private fun canRun(card: UpstreamCard, work: ItemWork): Boolean =
-        card.inFlight < card.listed.slots && !card.isLoading && hasWeights(card, work.terms)
-
-    private fun reportOf(state: ItemState, now: Moment): WaitReport {
-        val pausedUntil = state.notBefore?.takeIf { now < it }
-        val reason = when {
-            pausedUntil != null -> WaitReason.Paused(pausedUntil - now)
-            choose(state, now) == null -> WaitReason.NoCandidate
-            else -> WaitReason.Startable
-        }
-        val waited = state.waitingSince?.let { now - it } ?: Duration.ZERO
-        return WaitReport(state.work.key, waited, reason, countsFor(state, now))
-    }
-
-    private fun countsFor(state: ItemState, now: Moment): UpstreamCounts {
-        val work = state.work
-        val listed = board.all.filter { it.listed.service == work.service }
-        val usable = board.candidates(work.service, now) { canRun(it, work) }
-        return UpstreamCounts(
-            listed = listed.size,
-            usable = usable.size,
-            leaving = listed.count { it.listed.isLeaving },
-            suspended = listed.count { board.isSuspended(it, now) },
-            loading = listed.count { it.isLoading },
-            withoutWeights = listed.count { !hasWeights(it, work.terms) },
-            withoutPlace = listed.count { it.inFlight >= it.listed.slots },
-            avoided = usable.count { state.avoided.holds(it, now) },
-        )
-    }
-
-    private fun hasWeights(card: UpstreamCard, terms: DraftTerms?): Boolean {
-        if (terms == null) return true
-        val version = card.version(terms.model) ?: return false
-        return version >= terms.minimumVersion
-    }
-
-    private fun isToMove(state: ItemState, now: Moment): Boolean {
-        val run = state.run ?: return false
-        val limit = minOf(options.stallLimit * (1 shl state.moves.coerceAtMost(3)), options.longestStallLimit)
-        val card = board.card(run.upstream)
-        val allowance = if (card?.isLoading == true) options.loadAllowance else Duration.ZERO
-        if (now - run.lastProgress >= limit + allowance) return true
-        if (card == null) return false
-        if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
-        if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
-        return waiting.isEmpty() && hasAlternative(state.work, run.upstream, now)
-    }
-
-    private fun hasAlternative(work: ItemWork, present: UpstreamIdentity, now: Moment): Boolean =
-        board.usable(work.service, now).any { it.listed.identity != present && canRun(it, work) }
-
     private fun breakOff(
         state: ItemState,
         reason: String,
@@ -252,9 +139,9 @@
         isUpstreamFault: Boolean = true,
     ): List<DispatchAction> {
         val current = state.run ?: return emptyList()
-        release(current)
+        table.release(current)
         state.moves++
-        if (isUpstreamFault) retryBroken(state, current, now) else requeue(state, now + options.refusalPause)
+        if (isUpstreamFault) retryBroken(state, current, now) else table.requeue(state, now + options.refusalPause)
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
@@ -264,7 +151,7 @@
             board.onFailure(run.upstream, now)
         }
         state.avoided.add(run.upstream, now)
-        requeue(state, suspicionPause(state.fruitlessRuns)?.let { now + it })
+        table.requeue(state, suspicionPause(state.fruitlessRuns)?.let { now + it })
     }
 
     /** Returns the pause after [fruitlessRuns] in a row, or null if the item is not suspected. */
@@ -277,13 +164,7 @@
 
     private fun retryElsewhere(state: ItemState, run: RunState, now: Moment) {
         state.avoided.add(run.upstream, now)
-        requeue(state, now + options.refusalPause)
-    }
-
-    private fun requeue(state: ItemState, notBefore: Moment?) {
-        state.notBefore = notBefore
-        waiting += state
-        waiting.sortWith(URGENCY)
+        table.requeue(state, now + options.refusalPause)
     }
 
     private fun complete(state: ItemState, run: RunState, now: Moment): List<DispatchAction> {
@@ -303,61 +184,20 @@
     }
 
     private fun giveUp(state: ItemState): List<DispatchAction> {
-        val abort = state.run?.let { DispatchAction.Abort(release(it), "given up") }
+        val abort = state.run?.let { DispatchAction.Abort(table.release(it), "given up") }
         return listOfNotNull(abort) + finish(state, isCompleted = false, "waited too long")
     }
 
     private fun finish(state: ItemState, isCompleted: Boolean, reason: String): List<DispatchAction> {
-        items.remove(state.work.key)
-        waiting.remove(state)
+        table.remove(listOf(state))
         return listOf(DispatchAction.Finish(state.work.key, isCompleted, state.text, reason))
     }
 
-    private fun release(run: RunState): Long {
-        runs.remove(run.number)?.run = null
-        board.card(run.upstream)?.let { it.inFlight = (it.inFlight - 1).coerceAtLeast(0) }
-        return run.number
-    }
-
     private fun ItemText.plusVersion(version: WeightVersion): ItemText =
         if (version in versions) this else copy(versions = versions + version)
 
-    private class RunState(
-        val number: Long,
-        val upstream: UpstreamIdentity,
-        val startedAt: Moment,
-        var lastProgress: Moment,
-    ) {
-        var events = 0
-        var version: WeightVersion? = null
-    }
-
-    private class ItemState(
-        val work: ItemWork,
-        val avoided: AvoidedUpstreams,
-    ) {
-        var text = work.text
-        var run: RunState? = null
-        var notBefore: Moment? = null
-
-        /** First tick that found the item waiting after its submission or its last event. */
-        var waitingSince: Moment? = null
-        var failures = 0
-        var fruitlessRuns = 0
-        var moves = 0
-        var restart = false
-    }
-
     private companion object {
-        /** Keeps an item from moving before the pace of its upstream is known. */
-        val MINIMUM_STAY = 300.milliseconds
         const val MAXIMUM_DOUBLINGS = 5
-
-        val URGENCY: Comparator<ItemState> = compareBy<ItemState>(
-            { it.work.dueAt },
-            { !it.work.isCarriedOver },
-            { -it.work.expectedTokens },
-        )
     }
 }
 
--- /dev/null
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -0,0 +1,118 @@
+package org.zinniahoist.policy.dispatch
+
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+
+/** A run in progress. */
+internal class RunState(
+    val number: Long,
+    val upstream: UpstreamIdentity,
+    val startedAt: Moment,
+    var lastProgress: Moment,
+) {
+    var events = 0
+    var version: WeightVersion? = null
+}
+
+/** An item without a result, and its run if it has one. */
+internal class ItemState(
+    val work: ItemWork,
+    val avoided: AvoidedUpstreams,
+) {
+    var text = work.text
+    var run: RunState? = null
+    var notBefore: Moment? = null
+
+    /** First tick that found the item waiting after its submission or its last event. */
+    var waitingSince: Moment? = null
+    var failures = 0
+    var fruitlessRuns = 0
+    var moves = 0
+    var restart = false
+}
+
+/** Keeps the items without a result, those among them that wait, and the runs of the others. */
+internal class ItemTable(private val board: UpstreamBoard) {
+    private val items = LinkedHashMap<ItemKey, ItemState>()
+    private val runs = HashMap<Long, ItemState>()
+    private var waiting = ArrayList<ItemState>()
+    private var nextRun = 1L
+
+    /** All items, in the order of their submission. */
+    val all: Collection<ItemState> get() = items.values
+
+    /** Items that wait, the most urgent first. */
+    val waitingItems: List<ItemState> get() = waiting
+
+    /** Items that run. */
+    val runningItems: Collection<ItemState> get() = runs.values
+
+    val runNumbers: Set<Long> get() = runs.keys
+
+    fun item(key: ItemKey): ItemState? = items[key]
+
+    fun ofRun(run: Long): ItemState? = runs[run]
+
+    /** Adds items that are not known yet. */
+    fun add(states: List<ItemState>) {
+        states.forEach { items[it.work.key] = it }
+        waiting += states
+        waiting.sortWith(URGENCY)
+    }
+
+    fun remove(states: Collection<ItemState>) {
+        states.forEach { items.remove(it.work.key) }
+        waiting.removeAll(states.toSet())
+    }
+
+    fun clear() {
+        items.clear()
+        runs.clear()
+        waiting = ArrayList()
+        board.all.forEach { it.inFlight = 0 }
+    }
+
+    /** Lets the item of [state] wait again, until [notBefore] at least. */
+    fun requeue(state: ItemState, notBefore: Moment?) {
+        state.notBefore = notBefore
+        waiting += state
+        waiting.sortWith(URGENCY)
+    }
+
+    /** Starts the waiting items for which [choose] returns an upstream, the most urgent first. */
+    fun startWaiting(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> {
+        val actions = ArrayList<DispatchAction.Start>()
+        val still = ArrayList<ItemState>()
+        for (state in waiting) {
+            val card = choose(state)
+            if (card == null) still += state else actions += start(state, card, now)
+        }
+        waiting = still
+        return actions
+    }
+
+    private fun start(state: ItemState, card: UpstreamCard, now: Moment): DispatchAction.Start {
+        val run = nextRun++
+        card.inFlight++
+        state.restart = false
+        state.run = RunState(run, card.listed.identity, startedAt = now, lastProgress = now)
+        runs[run] = state
+        return DispatchAction.Start(run, state.work.key, card.listed, state.text.lastNumber)
+    }
+
+    /** Frees the place of [run] and returns its number. */
+    fun release(run: RunState): Long {
+        runs.remove(run.number)?.run = null
+        board.card(run.upstream)?.let { it.inFlight = (it.inFlight - 1).coerceAtLeast(0) }
+        return run.number
+    }
+
+    private companion object {
+        val URGENCY: Comparator<ItemState> = compareBy<ItemState>(
+            { it.work.dueAt },
+            { !it.work.isCarriedOver },
+            { -it.work.expectedTokens },
+        )
+    }
+}
