Loader: an upstream whose loads fail works under its old weights in between

What callers saw: nothing yet; found while looking for exclusions without an end. An upstream that accepts each order and comes back under its old weights was marked as loading for good and got no item, although many items allow the old weights. It also kept its turn, so two such upstreams kept all others from new weights.

Cause: a lost order was given again at once, without bound, and the mark ends only with the load.

One lost order is still given again at once. After a second one the load ends, and the upstream is not ordered again for 0.5 s, doubled each time up to 4 s; meanwhile it gets items and others get its turn.

Evidence: on the code before, both new tests of WeightLoaderTest fail: the upstream was open to items in 1 of 400 ticks, and 2 of 6 upstreams ever got an order. They pass now.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -56,6 +56,7 @@
 ) {
     private val targets = LinkedHashMap<ModelName, WeightVersion>()
     private val loads = LinkedHashMap<UpstreamIdentity, Load>()
+    private val rests = HashMap<UpstreamIdentity, Rest>()
     private val homes = ModelHomes(board)
 
     /** Names the newest weights of [model]. */
@@ -67,6 +68,7 @@
     /** Forgets all loads, because this process no longer decides. */
     public fun clear() {
         loads.clear()
+        rests.clear()
         board.all.forEach { it.isLoading = false }
     }
 
@@ -82,6 +84,7 @@
         modeOf: (ModelName) -> LoadMode,
     ): List<LoadAction> {
         loads.keys.filter { board.card(it) == null }.forEach { loads.remove(it) }
+        rests.keys.removeIf { board.card(it) == null }
         homes.assign(targets, openTokens, now)
         val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
         return actions + begin(now)
@@ -105,10 +108,14 @@
     private fun limitOf(upstreams: Int, share: Double): Int = (upstreams * share).toInt().coerceAtLeast(LEAST_AT_ONCE)
 
     private fun candidates(model: ModelName, version: WeightVersion, now: Moment): List<Candidate> = board.all
-        .filter { homes.isHome(it, model) && it.listed.identity !in loads && !board.isSuspended(it, now) }
+        .filter { homes.isHome(it, model) && it.listed.identity !in loads }
+        .filter { !board.isSuspended(it, now) && !isResting(it, now) }
         .map { Candidate(it, model, version, ModelHomes.versionsBehind(it, model, version)) }
         .filter { it.behind > 0 }
 
+    private fun isResting(card: UpstreamCard, now: Moment): Boolean =
+        rests[card.listed.identity]?.let { now < it.until } == true
+
     private fun advance(load: Load, now: Moment, modeOf: (ModelName) -> LoadMode): LoadAction? {
         val report = load.report
         val orderedAt = load.orderedAt
@@ -149,12 +156,22 @@
         report.versions.forEach { (model, version) -> load.card.observeVersion(model, version) }
         val reached = (report.versions[load.model] ?: load.version) >= load.version
         when {
-            reached && !report.isBusy -> finish(load)
+            reached && !report.isBusy -> succeed(load)
             load.orderedAt == null -> load.report = report
-            !report.isBusy && isLost(load, report, now) -> load.restart(report)
+            !report.isBusy && isLost(load, report, now) -> orderAgainOrRest(load, report, now)
         }
     }
 
+    /** One lost order is given again at once. After more, the upstream works under its old weights for a while. */
+    private fun orderAgainOrRest(load: Load, report: UpstreamReport, now: Moment) {
+        val identity = load.card.listed.identity
+        val rested = rests[identity]?.times ?: 0
+        if (rested == 0 && !load.isRepeated) return load.restart(report)
+        val pause = FIRST_REST * (1 shl rested.coerceAtMost(MAXIMUM_DOUBLINGS))
+        rests[identity] = Rest(rested + 1, until = now + pause)
+        finish(load)
+    }
+
     /** An order that was accepted shows in the number of orders; the report lags a little. */
     private fun isLost(load: Load, report: UpstreamReport, now: Moment): Boolean {
         val orderedAt = load.orderedAt ?: return false
@@ -167,12 +184,17 @@
         val load = loads[upstream] ?: return
         when (answer) {
             OrderAnswer.ACCEPTED -> load.orderedAt = now
-            OrderAnswer.HOLDS_ALREADY -> finish(load.also { it.card.observeVersion(it.model, it.version) })
+            OrderAnswer.HOLDS_ALREADY -> succeed(load.also { it.card.observeVersion(it.model, it.version) })
             OrderAnswer.CONFLICT, OrderAnswer.STALE_FENCE -> abandon(load, now)
             OrderAnswer.UNKNOWN -> Unit
         }
     }
 
+    private fun succeed(load: Load) {
+        rests.remove(load.card.listed.identity)
+        finish(load)
+    }
+
     private fun finish(load: Load) {
         loads.remove(load.card.listed.identity)
         load.card.isLoading = false
@@ -190,6 +212,12 @@
         val behind: Long,
     )
 
+    /** The [times] that an upstream was left alone after lost orders, and the end of the last time. */
+    private class Rest(
+        val times: Int,
+        val until: Moment,
+    )
+
     private class Load(
         val card: UpstreamCard,
         val model: ModelName,
@@ -199,6 +227,7 @@
         var report: UpstreamReport? = null
         var orderedAt: Moment? = null
         var misses = 0
+        var isRepeated = false
 
         fun nextQuestion(loadTime: Duration): Moment {
             val ordered = orderedAt ?: return askedAt + QUESTION_INTERVAL
@@ -208,6 +237,7 @@
         fun restart(newReport: UpstreamReport) {
             report = newReport
             orderedAt = null
+            isRepeated = true
         }
     }
 
@@ -222,6 +252,10 @@
         val REPORT_LAG = 1_500.milliseconds
         const val MISSES_BEFORE_GIVING_UP = 3
 
+        /** Doubled with each further lost order, up to 4 s. */
+        val FIRST_REST = 500.milliseconds
+        const val MAXIMUM_DOUBLINGS = 3
+
         /** Share of the upstreams that the weight store serves without slowing down. */
         const val SHARE_AT_ONCE = 0.3
 
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
@@ -15,6 +15,7 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThan
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -89,6 +90,64 @@
         expectThat(tick(start + 2.seconds).filterIsInstance<LoadAction.Order>()).hasSize(1)
     }
 
+    /**
+     * Guards against an upstream that gets no item for good because its loads fail: it accepts each order and goes on
+     * under its old weights, which many items allow.
+     */
+    @Test
+    fun `an upstream whose loads fail gets items between the orders`() {
+        board.relist(listOf(upstream("a")))
+        loader.onNamed(model, WeightVersion(2))
+        val upstream = UpstreamIdentity("a")
+        var now = start
+        var accepted = 0L
+        var openTicks = 0
+        repeat(400) {
+            now += 50.milliseconds
+            for (action in tick(now)) {
+                when (action) {
+                    is LoadAction.ReadReport -> loader.onReport(upstream, report(version = 1, accepted), now)
+                    is LoadAction.Order -> {
+                        accepted++
+                        loader.onOrderAnswer(upstream, OrderAnswer.ACCEPTED, now)
+                    }
+                }
+            }
+            if (board.card(upstream)?.isLoading == false) openTicks++
+        }
+        expectThat(openTicks).isGreaterThan(200)
+        expectThat(accepted).isGreaterThan(2)
+    }
+
+    /** Guards against loads that fail for good on some upstreams and keep the others from their weights. */
+    @Test
+    fun `upstreams whose loads fail leave their turn to others`() {
+        board.relist((1..6).map { upstream("u$it") })
+        loader.onNamed(model, WeightVersion(2))
+        val failing = setOf(UpstreamIdentity("u1"), UpstreamIdentity("u2"))
+        val orders = HashMap<UpstreamIdentity, Long>()
+        var now = start
+        repeat(400) {
+            now += 50.milliseconds
+            for (action in tick(now)) {
+                when (action) {
+                    is LoadAction.ReadReport -> {
+                        val upstream = action.upstream.identity
+                        val accepted = orders[upstream] ?: 0
+                        val version = if (accepted > 0 && upstream !in failing) 2L else 1L
+                        loader.onReport(upstream, report(version, accepted), now)
+                    }
+
+                    is LoadAction.Order -> {
+                        orders.merge(action.upstream.identity, 1, Long::plus)
+                        loader.onOrderAnswer(action.upstream.identity, OrderAnswer.ACCEPTED, now)
+                    }
+                }
+            }
+        }
+        expectThat(orders.size).isEqualTo(6)
+    }
+
     /** Guards against a second load while a report does not show the first yet. */
     @Test
     fun `does not order again before reports can show the order`() {
