--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -43,6 +43,7 @@
 ) {
     val board = UpstreamBoard()
     private val dispatcher = ItemDispatcher(board)
+    private val waits = WaitLog(metrics)
     private val runs = ItemRuns(dialect.headers, calls, machine)
     private val recorder = ResultRecorder(log, metrics)
     private val ages = JobAges()
@@ -76,6 +77,7 @@
         unrouted.clear()
         recorder.clear()
         carryOut(dispatcher.clear())
+        waits.clear()
     }
 
     /** A job was accepted, got results or was ended. */
@@ -106,6 +108,7 @@
         if (nextReconciliation?.let { now >= it } != false) reconcile(now)
         recorder.tick(now)
         carryOut(dispatcher.tick(now))
+        waits.observe(dispatcher.oldestWaiting(now), dispatcher.waitingItems, now)
     }
 
     private fun reconcile(now: Moment) {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -3,28 +3,8 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
-import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
-
-/** Times and limits of an [ItemDispatcher]. */
-public data class DispatchOptions(
-    /** Silence of a stream after which its item moves to another upstream; doubled with each move of the item. */
-    public val stallLimit: Duration = 700.milliseconds,
-    /** Longest silence that is borne. */
-    public val longestStallLimit: Duration = 4_000.milliseconds,
-    /** Added to the limits while the upstream loads weights, during which its streams stand still. */
-    public val loadAllowance: Duration = 1_500.milliseconds,
-    /** A stream moves if its upstream is slower than the others by this factor. */
-    public val slowFactor: Double = 2.5,
-    /** Runs in a row that broke without an event, after which an item is suspected to crash upstreams. */
-    public val suspicionLimit: Int = 3,
-    /** Pause before a suspected item is tried again. */
-    public val suspicionPause: Duration = 4_000.milliseconds,
-    /** Pause after an upstream refused an item. */
-    public val refusalPause: Duration = 60.milliseconds,
-)
 
 /**
  * Decides which item runs on which upstream, and what becomes of broken runs.
@@ -36,58 +16,58 @@
     public val board: UpstreamBoard = UpstreamBoard(),
     private val options: DispatchOptions = DispatchOptions(),
 ) {
-    private val items = LinkedHashMap<ItemKey, ItemState>()
-    private val runs = HashMap<Long, ItemState>()
-    private var waiting = ArrayList<ItemState>()
-    private var nextRun = 1L
+    private val table = ItemTable(board)
+    private val placement = ItemPlacement(board, options)
 
     /** Items that wait for a place. */
-    public val waitingItems: Int get() = waiting.size
+    public val waitingItems: Int get() = table.waitingItems.size
 
     /** Runs in progress. */
-    public val runningItems: Int get() = runs.size
+    public val runningItems: Int get() = table.runningItems.size
 
     /** True while [key] waits or runs. */
-    public operator fun contains(key: ItemKey): Boolean = key in items
+    public operator fun contains(key: ItemKey): Boolean = table.item(key) != null
 
     /** Returns the expected tokens of all items of [model] that are not finished. */
     public fun openTokens(model: ModelName): Long =
-        items.values.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
+        table.all.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
+
+    /** Returns why the item with [key] is not running at [now], or null if it runs or is not known. */
+    public fun waitReport(key: ItemKey, now: Moment): WaitReport? =
+        table.item(key)?.takeIf { it.run == null }?.let { placement.report(it, now) }
+
+    /** Returns the report of the item that has waited longest at [now], or null if none waits. */
+    public fun oldestWaiting(now: Moment): WaitReport? =
+        table.waitingItems.minByOrNull { it.waitingSince ?: now }?.let { placement.report(it, now) }
 
     /** Adds items; those that are known already are left as they are. */
     public fun submit(work: List<ItemWork>) {
-        for (item in work) {
-            if (item.key in items) continue
-            val state = ItemState(if (item.text.fits(item.terms)) item else item.copy(text = ItemText()))
-            items[item.key] = state
-            waiting += state
+        val added = work.filter { table.item(it.key) == null }.distinctBy { it.key }.map { item ->
+            val fitting = if (item.text.fits(item.terms)) item else item.copy(text = ItemText())
+            ItemState(fitting, AvoidedUpstreams(options.avoidance))
         }
-        waiting.sortWith(URGENCY)
+        table.add(added)
     }
 
     /** Forgets all items of [job] and ends their runs. Returns the text of those that were not finished. */
     public fun cancelJob(job: String): CancelledJob {
-        val cancelled = items.values.filter { it.work.key.job == job }
-        val aborts = cancelled.mapNotNull { state -> state.run?.let { release(it) } }
-        cancelled.forEach { items.remove(it.work.key) }
-        waiting.removeAll(cancelled.toSet())
+        val cancelled = table.all.filter { it.work.key.job == job }
+        val aborts = cancelled.mapNotNull { state -> state.run?.let(table::release) }
+        table.remove(cancelled)
         val texts = cancelled.filter { it.text.events.isNotEmpty() }.associate { it.work.key.item to it.text }
         return CancelledJob(aborts.map { DispatchAction.Abort(it, "job ended") }, texts)
     }
 
     /** Ends everything, because this process no longer decides. */
     public fun clear(): List<DispatchAction.Abort> {
-        val aborts = runs.keys.map { DispatchAction.Abort(it, "leadership lost") }
-        items.clear()
-        runs.clear()
-        waiting = ArrayList()
-        board.all.forEach { it.inFlight = 0 }
+        val aborts = table.runNumbers.map { DispatchAction.Abort(it, "leadership lost") }
+        table.clear()
         return aborts
     }
 
     /** The answer of [run] began. Returns an abort if its weights are too old for the item. */
     public fun onBegin(run: Long, version: WeightVersion?, now: Moment): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         current.version = version
         current.lastProgress = now
@@ -107,7 +87,7 @@
         version: WeightVersion?,
         now: Moment,
     ): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         val expected = state.text.lastNumber?.plus(1)
         if (expected != null && number != expected) return breakOff(state, "event $number is not $expected", now)
@@ -116,6 +96,7 @@
         current.events++
         current.lastProgress = now
         state.fruitlessRuns = 0
+        state.waitingSince = null
         board.onSuccess(current.upstream)
         val longer = state.text.plus(number, data, current.version)
         if (longer.fits(state.work.terms)) {
@@ -128,14 +109,14 @@
 
     /** The [run] ended. */
     public fun onEnd(run: Long, end: RunEnd, now: Moment): List<DispatchAction> {
-        val state = runs[run] ?: return emptyList()
+        val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
-        release(current)
+        table.release(current)
         return when (end) {
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
-            is RunEnd.NotRun -> emptyList<DispatchAction>().also { requeue(state, now + options.refusalPause) }
+            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryElsewhere(state, current, now) }
             is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
         }
     }
@@ -143,62 +124,17 @@
     /** Starts what can be started, moves what has stalled, gives up what is too old. */
     public fun tick(now: Moment): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
-        for (state in items.values.toList()) {
+        for (state in table.all.toList()) {
             if (now >= state.work.giveUpAt) actions += giveUp(state)
         }
-        for (state in runs.values.toList()) if (isToMove(state, now)) actions += breakOff(state, "stalled", now)
-        actions += startWaiting(now)
-        return actions
-    }
-
-    private fun startWaiting(now: Moment): List<DispatchAction> {
-        if (waiting.isEmpty()) return emptyList()
-        val actions = ArrayList<DispatchAction>()
-        val still = ArrayList<ItemState>()
-        for (state in waiting) {
-            val card = if (state.notBefore?.let { now < it } == true) null else choose(state, now)
-            if (card == null) still += state else actions += start(state, card, now)
+        for (state in table.runningItems.toList()) {
+            if (placement.isToMove(state, waitingItems > 0, now)) actions += breakOff(state, "stalled", now)
         }
-        waiting = still
+        table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
+        actions += table.startWaiting(now) { placement.choose(it, now) }
         return actions
     }
 
-    private fun start(state: ItemState, card: UpstreamCard, now: Moment): DispatchAction {
-        val run = nextRun++
-        card.inFlight++
-        state.restart = false
-        state.run = RunState(run, card.listed.identity, startedAt = now, lastProgress = now)
-        runs[run] = state
-        return DispatchAction.Start(run, state.work.key, card.listed, state.text.lastNumber)
-    }
-
-    /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun choose(state: ItemState, now: Moment, avoided: UpstreamIdentity? = state.lastUpstream): UpstreamCard? {
-        val usable = board.usable(state.work.service, now)
-        return usable
-            .filter { it.inFlight < it.listed.slots && !it.isLoading && hasWeights(it, state.work.terms) }
-            .filter { it.listed.identity != avoided || usable.size == 1 }
-            .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
-    }
-
-    private fun hasWeights(card: UpstreamCard, terms: DraftTerms?): Boolean {
-        if (terms == null) return true
-        val version = card.version(terms.model) ?: return false
-        return version >= terms.minimumVersion
-    }
-
-    private fun isToMove(state: ItemState, now: Moment): Boolean {
-        val run = state.run ?: return false
-        val limit = minOf(options.stallLimit * (1 shl state.moves.coerceAtMost(3)), options.longestStallLimit)
-        val card = board.card(run.upstream)
-        val allowance = if (card?.isLoading == true) options.loadAllowance else Duration.ZERO
-        if (now - run.lastProgress >= limit + allowance) return true
-        if (card == null) return false
-        if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
-        if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
-        return waiting.isEmpty() && choose(state, now, avoided = run.upstream) != null
-    }
-
     private fun breakOff(
         state: ItemState,
         reason: String,
@@ -206,9 +142,9 @@
         isUpstreamFault: Boolean = true,
     ): List<DispatchAction> {
         val current = state.run ?: return emptyList()
-        release(current)
+        table.release(current)
         state.moves++
-        if (isUpstreamFault) retryBroken(state, current, now) else requeue(state, now + options.refusalPause)
+        if (isUpstreamFault) retryBroken(state, current, now) else table.requeue(state, now + options.refusalPause)
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
@@ -217,15 +153,21 @@
             state.fruitlessRuns++
             board.onFailure(run.upstream, now)
         }
-        state.lastUpstream = run.upstream
-        val isSuspect = state.fruitlessRuns >= options.suspicionLimit
-        requeue(state, if (isSuspect) now + options.suspicionPause else null)
+        state.avoided.add(run.upstream, now)
+        table.requeue(state, suspicionPause(state.fruitlessRuns)?.let { now + it })
     }
 
-    private fun requeue(state: ItemState, notBefore: Moment?) {
-        state.notBefore = notBefore
-        waiting += state
-        waiting.sortWith(URGENCY)
+    /** Returns the pause after [fruitlessRuns] in a row, or null if the item is not suspected. */
+    private fun suspicionPause(fruitlessRuns: Int): Duration? {
+        val doublings = fruitlessRuns - options.suspicionLimit
+        if (doublings < 0) return null
+        val pause = options.suspicionPause * (1 shl doublings.coerceAtMost(MAXIMUM_DOUBLINGS))
+        return minOf(pause, options.longestSuspicionPause)
+    }
+
+    private fun retryElsewhere(state: ItemState, run: RunState, now: Moment) {
+        state.avoided.add(run.upstream, now)
+        table.requeue(state, now + options.refusalPause)
     }
 
     private fun complete(state: ItemState, run: RunState, now: Moment): List<DispatchAction> {
@@ -240,61 +182,25 @@
         state.failures++
         state.text = ItemText()
         if (state.failures >= state.work.maximumFailures) return finish(state, isCompleted = false, "failed too often")
-        state.lastUpstream = run.upstream
-        requeue(state, now + options.refusalPause)
+        retryElsewhere(state, run, now)
         return emptyList()
     }
 
     private fun giveUp(state: ItemState): List<DispatchAction> {
-        val abort = state.run?.let { DispatchAction.Abort(release(it), "given up") }
+        val abort = state.run?.let { DispatchAction.Abort(table.release(it), "given up") }
         return listOfNotNull(abort) + finish(state, isCompleted = false, "waited too long")
     }
 
     private fun finish(state: ItemState, isCompleted: Boolean, reason: String): List<DispatchAction> {
-        items.remove(state.work.key)
-        waiting.remove(state)
+        table.remove(listOf(state))
         return listOf(DispatchAction.Finish(state.work.key, isCompleted, state.text, reason))
     }
 
-    private fun release(run: RunState): Long {
-        runs.remove(run.number)?.run = null
-        board.card(run.upstream)?.let { it.inFlight = (it.inFlight - 1).coerceAtLeast(0) }
-        return run.number
-    }
-
     private fun ItemText.plusVersion(version: WeightVersion): ItemText =
         if (version in versions) this else copy(versions = versions + version)
 
-    private class RunState(
-        val number: Long,
-        val upstream: UpstreamIdentity,
-        val startedAt: Moment,
-        var lastProgress: Moment,
-    ) {
-        var events = 0
-        var version: WeightVersion? = null
-    }
-
-    private class ItemState(val work: ItemWork) {
-        var text = work.text
-        var run: RunState? = null
-        var notBefore: Moment? = null
-        var lastUpstream: UpstreamIdentity? = null
-        var failures = 0
-        var fruitlessRuns = 0
-        var moves = 0
-        var restart = false
-    }
-
     private companion object {
-        /** Keeps an item from moving before the pace of its upstream is known. */
-        val MINIMUM_STAY = 300.milliseconds
-
-        val URGENCY: Comparator<ItemState> = compareBy<ItemState>(
-            { it.work.dueAt },
-            { !it.work.isCarriedOver },
-            { -it.work.expectedTokens },
-        )
+        const val MAXIMUM_DOUBLINGS = 5
     }
 }
 
