Dispatch: hold a refused run against its upstream

Callers saw items that waited while sound upstreams had free places. After a crash an upstream comes back with another identity, and the list shows the old one for some time. Its runs are refused at once, but nothing was held against it: with no run in flight it was the cheapest choice again 60 ms later, for all waiting items.

A refusal because another upstream has the address is now a failure of its own kind: the upstream is avoided for a time that doubles, all runs that find it out together count as one failure, and the item goes on at once. An upstream without a place is avoided for 60 ms without doubling, since a place comes free at any time. Each refused run is logged with its reason.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -230,10 +230,17 @@
         override fun onEnd(end: RunEnd) = post {
             runs.remove(run)
             metrics.onEvent("run", end.javaClass.simpleName)
-            if (end is RunEnd.Broken) logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
+            log(end)
             carryOut(dispatcher.onEnd(run, end, clock()))
             tick()
         }
+
+        private fun log(end: RunEnd) = when (end) {
+            is RunEnd.Broken -> logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
+            is RunEnd.NotRun -> logger.info { "event=run-refused run=$run reason=\"no place\"" }
+            is RunEnd.Misdirected -> logger.info { "event=run-refused run=$run reason=\"another upstream\"" }
+            is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible -> Unit
+        }
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -51,7 +51,8 @@
         status = headers.status().code()
         val echoed = headers.get(names.requestIdentifier)
         when {
-            headers.contains(names.notRun) || status == MISDIRECTED -> end(RunEnd.NotRun)
+            status == MISDIRECTED -> end(RunEnd.Misdirected)
+            headers.contains(names.notRun) -> end(RunEnd.NotRun)
             status == OK && echoed != identifier -> end(RunEnd.Broken("answer of another request"))
             status == OK -> observer.onBegin(
                 headers.get(names.weightVersion)?.trim()?.toLongOrNull()?.let(::WeightVersion),
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -65,9 +65,12 @@
     /** The whole answer was received. */
     public data object Completed : RunEnd
 
-    /** The upstream says that it did not run the item. */
+    /** The upstream says that it did not run the item, for want of a place. */
     public data object NotRun : RunEnd
 
+    /** Another upstream has the address of the one that was meant, and did not run the item. */
+    public data object Misdirected : RunEnd
+
     /** The upstream ran the item and failed. */
     public data object Failed : RunEnd
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -22,7 +22,7 @@
     public val suspicionLimit: Int = 3,
     /** Pause before a suspected item is tried again. */
     public val suspicionPause: Duration = 4_000.milliseconds,
-    /** Pause after an upstream refused an item. */
+    /** Pause of an upstream that had no place for an item, and of an item that its upstream failed. */
     public val refusalPause: Duration = 60.milliseconds,
 )
 
@@ -132,7 +132,8 @@
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
-            is RunEnd.NotRun -> emptyList<DispatchAction>().also { requeue(state, now + options.refusalPause) }
+            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryRefused(state, current, now) }
+            is RunEnd.Misdirected -> emptyList<DispatchAction>().also { retryMisdirected(state, current, now) }
             is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
         }
     }
@@ -209,6 +210,16 @@
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
+    private fun retryRefused(state: ItemState, run: RunState, now: Moment) {
+        board.onRefusal(run.upstream, now, options.refusalPause)
+        requeue(state, notBefore = null)
+    }
+
+    private fun retryMisdirected(state: ItemState, run: RunState, now: Moment) {
+        board.onAbsence(run.upstream, now)
+        requeue(state, notBefore = null)
+    }
+
     private fun retryBroken(state: ItemState, run: RunState, now: Moment) {
         if (run.events == 0) {
             state.fruitlessRuns++
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -92,6 +92,21 @@
         card.suspendedUntil = now + minOf(firstSuspension * (1 shl doublings), longestSuspension)
     }
 
+    /** Notes that the upstream had no place at [now]; it is avoided for [pause], as places come free at any time. */
+    public fun onRefusal(identity: UpstreamIdentity, now: Moment, pause: Duration) {
+        val card = cards[identity] ?: return
+        if (!isSuspended(card, now)) card.suspendedUntil = now + pause
+    }
+
+    /**
+     * Notes that the upstream was not at its address at [now], though the list may show it for some time. All runs that
+     * find this out together count as one failure.
+     */
+    public fun onAbsence(identity: UpstreamIdentity, now: Moment) {
+        val card = cards[identity] ?: return
+        if (!isSuspended(card, now)) onFailure(identity, now)
+    }
+
     /** Notes a sign of life. */
     public fun onSuccess(identity: UpstreamIdentity) {
         val card = cards[identity] ?: return
