--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -116,7 +116,8 @@
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
-            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryElsewhere(state, current, now) }
+            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryRefused(state, current, now) }
+            is RunEnd.Misdirected -> emptyList<DispatchAction>().also { retryMisdirected(state, current, now) }
             is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
         }
     }
@@ -148,6 +149,17 @@
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
+    private fun retryRefused(state: ItemState, run: RunState, now: Moment) {
+        board.onRefusal(run.upstream, now, options.refusalPause)
+        retryElsewhere(state, run, now)
+    }
+
+    private fun retryMisdirected(state: ItemState, run: RunState, now: Moment) {
+        board.onAbsence(run.upstream, now)
+        state.avoided.add(run.upstream, now)
+        table.requeue(state, notBefore = null)
+    }
+
     private fun retryBroken(state: ItemState, run: RunState, now: Moment) {
         if (run.events == 0) {
             state.fruitlessRuns++
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -26,7 +26,9 @@
     internal var eventMilliseconds: Double = UNKNOWN_PACE
     internal var failures = 0
     internal var suspendedUntil: Moment? = null
-    internal var failedAt: Moment? = null
+
+    /** A suspended upstream may be probed from this moment on, if no other can be used. */
+    internal var probeFrom: Moment? = null
     private val versions = HashMap(listed.versions)
 
     /** Models of which the upstream has weights. */
@@ -93,7 +95,7 @@
     }
 
     private fun mayProbe(card: UpstreamCard, now: Moment): Boolean =
-        card.inFlight == 0 && card.failedAt?.let { now - it >= firstSuspension } != false
+        card.inFlight == 0 && card.probeFrom?.let { now >= it } != false
 
     /** Returns true while [card] is avoided because of its failures. */
     public fun isSuspended(card: UpstreamCard, now: Moment): Boolean = card.suspendedUntil?.let { now < it } == true
@@ -103,8 +105,26 @@
         val card = cards[identity] ?: return
         val doublings = card.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
         card.failures++
-        card.failedAt = now
-        card.suspendedUntil = now + minOf(firstSuspension * (1 shl doublings), longestSuspension)
+        val suspension = minOf(firstSuspension * (1 shl doublings), longestSuspension)
+        card.suspendedUntil = now + suspension
+        card.probeFrom = now + minOf(suspension, LONGEST_PROBE_INTERVAL)
+    }
+
+    /** Notes that the upstream had no place at [now]; it is avoided for [pause], as places come free at any time. */
+    public fun onRefusal(identity: UpstreamIdentity, now: Moment, pause: Duration) {
+        val card = cards[identity] ?: return
+        if (isSuspended(card, now)) return
+        card.suspendedUntil = now + pause
+        card.probeFrom = now + pause
+    }
+
+    /**
+     * Notes that the upstream was not at its address at [now], though the list may show it for some time. All runs that
+     * find this out together count as one failure.
+     */
+    public fun onAbsence(identity: UpstreamIdentity, now: Moment) {
+        val card = cards[identity] ?: return
+        if (!isSuspended(card, now)) onFailure(identity, now)
     }
 
     /** Notes a sign of life. */
@@ -139,6 +159,9 @@
 
         /** An upstream that is back is found within this time. */
         val LONGEST_SUSPENSION = 3.seconds
+
+        /** With the longest pause of a suspected item, an item is tried well within the 5 s that the platform allows. */
+        val LONGEST_PROBE_INTERVAL = 1.seconds
         const val MAXIMUM_DOUBLINGS = 5
         const val MICROSECONDS_PER_MILLISECOND = 1_000.0
 
