--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -155,7 +155,7 @@
     }
 
     private fun retryMisdirected(state: ItemState, run: RunState, now: Moment) {
-        board.onAbsence(run.upstream, now)
+        board.onAbsence(run.upstream, run.startedAt, now)
         state.avoided.add(run.upstream, now)
         table.requeue(state, notBefore = null)
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -26,6 +26,7 @@
     internal var eventMilliseconds: Double = UNKNOWN_PACE
     internal var failures = 0
     internal var suspendedUntil: Moment? = null
+    internal var failedAt: Moment? = null
 
     /** A suspended upstream may be probed from this moment on, if no other can be used. */
     internal var probeFrom: Moment? = null
@@ -105,6 +106,7 @@
         val card = cards[identity] ?: return
         val doublings = card.failures.coerceAtMost(MAXIMUM_DOUBLINGS)
         card.failures++
+        card.failedAt = now
         val suspension = minOf(firstSuspension * (1 shl doublings), longestSuspension)
         card.suspendedUntil = now + suspension
         card.probeFrom = now + minOf(suspension, LONGEST_PROBE_INTERVAL)
@@ -119,12 +121,13 @@
     }
 
     /**
-     * Notes that the upstream was not at its address at [now], though the list may show it for some time. All runs that
-     * find this out together count as one failure.
+     * Notes that the upstream was not at its address at [now], though the list may show it for some time.
+     *
+     * Runs that were [startedAt] a moment before another found this out count as one failure with it.
      */
-    public fun onAbsence(identity: UpstreamIdentity, now: Moment) {
-        val card = cards[identity] ?: return
-        if (!isSuspended(card, now)) onFailure(identity, now)
+    public fun onAbsence(identity: UpstreamIdentity, startedAt: Moment, now: Moment) {
+        val isKnown = cards[identity]?.failedAt?.let { startedAt <= it } == true
+        if (!isKnown) onFailure(identity, now)
     }
 
     /** Notes a sign of life. */
@@ -160,7 +163,7 @@
         /** An upstream that is back is found within this time. */
         val LONGEST_SUSPENSION = 3.seconds
 
-        /** With the longest pause of a suspected item, an item is tried well within the 5 s that the platform allows. */
+        /** With the longest pause of a suspected item, an item is tried well within the 5 s that are allowed. */
         val LONGEST_PROBE_INTERVAL = 1.seconds
         const val MAXIMUM_DOUBLINGS = 5
         const val MICROSECONDS_PER_MILLISECOND = 1_000.0
