Find and list the items of a job without going over all of them

Listing a result hashed all items and all listed results of its job, on each replica, and each run searched all items.

--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -31,6 +31,12 @@
     @Volatile
     private var listed: List<ItemResult> = emptyList()
 
+    /** The first item with each identifier. */
+    private val itemsByIdentifier by lazy { job.items.asReversed().associateBy { it.identifier } }
+
+    /** Items of [listed]; used by the thread of the replica only. */
+    private val listedItems by lazy { listed.mapTo(HashSet()) { it.item } }
+
     /** True once the trainer has ended the job. */
     @Volatile
     public var isEnded: Boolean = false
@@ -46,12 +52,10 @@
     }
 
     /** Returns the item with [identifier], or null. */
-    public fun item(identifier: RequestIdentifier): BatchItem? = job.items.find { it.identifier == identifier }
+    public fun item(identifier: RequestIdentifier): BatchItem? = itemsByIdentifier[identifier]
 
     internal fun list(results: List<ItemResult>) {
-        val known = listed.mapTo(HashSet()) { it.item }
-        val items = job.items.mapTo(HashSet()) { it.identifier }
-        val fresh = results.filter { it.item in items && known.add(it.item) }
+        val fresh = results.filter { it.item in itemsByIdentifier && listedItems.add(it.item) }
         if (fresh.isNotEmpty()) listed = listed + fresh
     }
 
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -104,6 +104,17 @@
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
     }
 
+    /** Guards against a restored replica that lists an item a second time. */
+    @Test
+    fun `lists no item again after a snapshot`() {
+        submit("j")
+        record("a", "first")
+        machine.restore(machine.snapshot())
+        record("a", "second")
+        record("b", "third")
+        expectThat(machine.job(JobIdentifier("j"))!!.results.map { it.output }).containsExactly("first", "third")
+    }
+
     /** Guards against a 404 for an accepted job that is read while a snapshot is restored. */
     @Test
     fun `keeps a job readable while it is restored`() {
