Tell the engine of a change before a test moves its clock

'gives up an item that is surely old enough' failed once: the test could move the steady clock before the posted word of the job had reached the engine, so the job counted as learned later. The fixture waits for the posted tasks.

--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -134,7 +134,11 @@
         }
     }
 
-    fun apply(command: ServiceCommand) = onThread { applyHere(command) }
+    /** Applies [command]; the engine has been told of it when this returns, so that the clock may be moved. */
+    fun apply(command: ServiceCommand) {
+        onThread { applyHere(command) }
+        onThread { }
+    }
 
     private fun applyHere(command: ServiceCommand) {
         val time = System.currentTimeMillis() + wallJump.inWholeMilliseconds
