--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -34,7 +34,12 @@
     private val keptTexts = LinkedHashMap<RequestIdentifier, ItemText>()
 
     /** Returns the plan for [items] of [record] on [route]. */
-    fun plan(record: JobRecord, route: Route, items: List<BatchItem>, now: Moment): JobPlan {
+    fun plan(
+        record: JobRecord,
+        route: Route,
+        items: List<BatchItem>,
+        now: Moment,
+    ): JobPlan {
         val terms = termsOf(record.job, route)
         val earlier = earlierResults(record.job, items).filterValues { ItemText(versions = it.versions).fits(terms) }
         val work = items.filter { it.identifier !in earlier }.map { work(record, route, it, now) }
@@ -66,7 +71,12 @@
         DraftTerms(it.model, it.minimumVersion, route.batch?.singleVersion == true)
     }
 
-    private fun work(record: JobRecord, route: Route, item: BatchItem, now: Moment): ItemWork {
+    private fun work(
+        record: JobRecord,
+        route: Route,
+        item: BatchItem,
+        now: Moment,
+    ): ItemWork {
         val batch = checkNotNull(route.batch) { "a job on the plain route ${route.name}" }
         val age = ages.atLeast(record.job.identifier, now)
         val wallAge = (wallMilliseconds() - record.submittedMilliseconds).milliseconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -43,7 +43,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A [BatchEngine] on its own thread, with a replicated state that the test changes and an upstream on the loopback. */
-internal class EngineFixture : AutoCloseable, ServiceListener {
+internal class EngineFixture :
+    AutoCloseable,
+    ServiceListener {
     private val thread = EngineThread()
     private val calls = UpstreamCalls()
     private val server = Server.builder()
