--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -64,7 +64,7 @@
 
     private suspend fun order(held: OrderRight, action: LoadAction.Order) {
         val upstream = action.upstream
-        // A replica that lost its leadership without noticing must not use its fence any more, not even in a later term.
+        // A replica that lost its leadership without noticing must not use its fence any more, even if it leads again.
         val mayOrder = confirmLeadership() && right == held
         val answer = if (mayOrder) send(held, action) else OrderAnswer.UNKNOWN
         logger.info {
