--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -43,7 +43,9 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** A [BatchEngine] on its own thread, with a replicated state that the test changes and an upstream on the loopback. */
-internal class EngineFixture : AutoCloseable, ServiceListener {
+internal class EngineFixture :
+    AutoCloseable,
+    ServiceListener {
     private val thread = EngineThread()
     private val calls = UpstreamCalls()
     private val server = Server.builder()
@@ -134,7 +136,11 @@
         }
     }
 
-    fun apply(command: ServiceCommand) = onThread { applyHere(command) }
+    /** Applies [command]; the engine has been told of it when this returns, so that the clock may be moved. */
+    fun apply(command: ServiceCommand) {
+        onThread { applyHere(command) }
+        onThread { }
+    }
 
     private fun applyHere(command: ServiceCommand) {
         val time = System.currentTimeMillis() + wallJump.inWholeMilliseconds
