A run whose events can't be the item's text leaves none of it behind

A run may end because its upstream sent events that the item can't have. Its text was kept, and the next run went on after it, so that a result could be listed with text that is none of the item's. RunEnd.Broken now says whether the text is sound; otherwise the item starts again, and the upstream is avoided as after a run without an event.

The new test doesn't compile on the code before, which had no way to say so.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -75,7 +75,11 @@
     public data object Impossible : RunEnd
 
     /** The connection ended early, or the answer made no sense. */
-    public data class Broken(public val reason: String) : RunEnd
+    public data class Broken(
+        public val reason: String,
+        /** False if the events of the run can't be the item's text. */
+        public val isTextSound: Boolean = true,
+    ) : RunEnd
 }
 
 /** What the shell has to do for the dispatcher. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -133,7 +133,7 @@
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
             is RunEnd.NotRun -> emptyList<DispatchAction>().also { requeue(state, now + options.refusalPause) }
-            is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
+            is RunEnd.Broken -> emptyList<DispatchAction>().also { onBroken(state, current, end, now) }
         }
     }
 
@@ -209,6 +209,19 @@
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
+    private fun onBroken(
+        state: ItemState,
+        run: RunState,
+        end: RunEnd.Broken,
+        now: Moment,
+    ) {
+        if (!end.isTextSound) {
+            state.text = ItemText()
+            board.onFailure(run.upstream, now)
+        }
+        retryBroken(state, run, now)
+    }
+
     private fun retryBroken(state: ItemState, run: RunState, now: Moment) {
         if (run.events == 0) {
             state.fruitlessRuns++
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
@@ -86,6 +86,19 @@
             expectThat(finish.text.events).containsExactly("one", "two", "three")
         }
 
+        /** Guards against a text that goes on after events which are none of the item's, and a wait for a result. */
+        @Test
+        fun `starts again elsewhere after events that can't be its text`() {
+            dispatcher.board.relist(listOf(upstream("a"), upstream("b")))
+            dispatcher.submit(listOf(item("x")))
+            val first = begin()
+            dispatcher.onEvent(first.run, 1, "one", null, start)
+            dispatcher.onEnd(first.run, RunEnd.Broken("too long", isTextSound = false), start)
+            val second = starts(dispatcher.tick(start)).single()
+            expectThat(second.afterEvent).isNull()
+            expectThat(second.upstream.identity).not().isEqualTo(first.upstream.identity)
+        }
+
         /** Guards against a missing event inside a text. */
         @Test
         fun `is broken off when an event is missing`() {
