Bound what an upstream may send in one answer

What callers would see: an upstream in trouble sends bytes that are no answer until its caller closes. A single request filled the memory of its entry, an item or a report that of the leader, with all other requests in them; an item with events without end got neither a result nor another run; a refusal with a body without end held its connection for good, and its item counted as failed; a report took the late answer to a request on the same connection.

Cause: no answer had a limit. Bodies were collected whatever came, interim heads skipped whatever came, the parser of events held and searched all bytes without an empty line from their start, and a run asked for all events at once. Only the deadline ended it, and a link fills a heap of 80 MB sooner.

AnswerLimits holds all limits, derived from what a request may yield: a head of 16 kB and 16 interim heads, 4 MB for a single answer, 1 MB for a call of the process, 64 kB for an event, as many events as an item has tokens and a kilobyte for each. UpstreamCalls.open applies them to each call, closes the connection, logs answer-too-long with the request, the upstream and the limit, and counts it; the request goes on as after a lost answer, so that one that may run once is not repeated. Calls of the process read with the same function as requests, which checks the echo. A refusal of an item counts once its body has ended. A run asks for more once the engine's thread has taken what came. A reading of the platform's list ends after 16 MB.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -5,6 +5,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.AnswerLimits
 import org.zinniahoist.gateway.upstream.ItemRun
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.StreamEvent
@@ -201,8 +202,10 @@
     private fun start(action: DispatchAction.Start) {
         val record = machine.job(JobIdentifier(action.key.job)) ?: return
         val item = record.item(action.key.item) ?: return
-        val response = calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
-        val run = ItemRun(dialect.headers, item.identifier.value, Observer(action.run), response)
+        val limits = AnswerLimits.item(item.tokens)
+        val headers = headers(record.job, item, action)
+        val response = calls.open(action.upstream.endpoint, headers, item.body, limits, item.identifier.value)
+        val run = ItemRun(dialect.headers, item.identifier.value, Observer(action.run), limits, response)
         runs[action.run] = run
         logger.info {
             "event=run-started run=${action.run} item=${item.identifier} job=${action.key.job} " +
@@ -234,6 +237,8 @@
             carryOut(dispatcher.onEnd(run, end, clock()))
             tick()
         }
+
+        override fun whenTaken(action: () -> Unit) = post(action)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -78,8 +78,8 @@
     )
     private val metrics = GatewayMetrics()
     private val links = CoreLinks(settings.machine, hello, jobs, scope, clock)
-    private val calls = UpstreamCalls()
-    private val listReader = ListReader(dialect, calls, settings.listEndpoint)
+    private val calls = UpstreamCalls(dialect.headers, metrics)
+    private val listReader = ListReader(dialect.paths, dialect::listPage, calls, settings.listEndpoint)
     private val engine = BatchEngine(
         dialect,
         calls,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -56,7 +56,7 @@
 
     private suspend fun readReport(upstream: ListedUpstream) {
         val answer = calls.get(upstream.endpoint, dialect.paths.report, CALL_TIMEOUT)
-        val report = answer?.takeIf { it.status().code() == OK }?.let { dialect.report(it.content().array()) }
+        val report = answer?.takeIf { it.status == OK }?.let { dialect.report(it.body) }
         logger.debug { "event=report-read upstream=${upstream.identity} report=$report" }
         post { loader.onReport(upstream.identity, report, clock()) }
     }
@@ -87,7 +87,7 @@
             .set(dialect.headers.expectedUpstream, action.upstream.identity.value)
             .build()
         val answer = calls.whole(action.upstream.endpoint, headers, dialect.order(order), CALL_TIMEOUT)
-        return when (answer?.status()?.code()) {
+        return when (answer?.status) {
             ACCEPTED -> OrderAnswer.ACCEPTED
             OK -> OrderAnswer.HOLDS_ALREADY
             CONFLICT -> OrderAnswer.CONFLICT
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -47,14 +47,14 @@
 ) : GatewayProcess,
     CoreObserver {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val calls = UpstreamCalls()
+    private val metrics = GatewayMetrics()
+    private val calls = UpstreamCalls(dialect.headers, metrics)
     private val directory = UpstreamDirectory(
         LatencyChooser(),
-        ListReader(dialect, calls, settings.listEndpoint),
+        ListReader(dialect.paths, dialect::listPage, calls, settings.listEndpoint),
         clock,
     )
     private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
-    private val metrics = GatewayMetrics()
     private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics)
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -13,6 +13,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.AnswerLimits
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.gateway.upstream.readWhole
@@ -139,7 +140,13 @@
             val start = clock()
             var isSound = false
             try {
-                val response = calls.open(upstream.endpoint, headersFor(upstream), request.body)
+                val response = calls.open(
+                    upstream.endpoint,
+                    headersFor(upstream),
+                    request.body,
+                    AnswerLimits.SINGLE,
+                    request.identifier,
+                )
                 val outcome = classify(readWhole(response, names.requestIdentifier, request.identifier))
                 isSound = outcome is Outcome.Sound
                 return outcome
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -1,9 +1,12 @@
 package org.zinniahoist.gateway.entry
 
+import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.common.SplitHttpResponse
+import com.linecorp.armeria.common.stream.StreamMessage
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -12,7 +15,11 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.AnswerLimits
+import org.zinniahoist.gateway.upstream.AnswerTooLongException
+import org.zinniahoist.gateway.upstream.EventMeter
 import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.gateway.upstream.breakOff
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
@@ -81,11 +88,12 @@
     private suspend fun attempt(request: ForwardedRequest, upstream: ListedUpstream): Attempt {
         val start = clock()
         var begun: Attempt? = null
-        val response = calls.open(upstream.endpoint, headersFor(request, upstream), request.body)
+        val headers = headersFor(request, upstream)
+        val response = calls.open(upstream.endpoint, headers, request.body, AnswerLimits.STREAM, request.identifier)
         try {
             val split = response.split()
             val head = withTimeoutOrNull(request.deadline - start) { split.headers().await() }
-            val attempt = if (head == null) Attempt.Lost("no answer in time") else judge(request, head, split)
+            val attempt = if (head == null) Attempt.Lost("no answer in time") else judge(request, head, response, split)
             begun = attempt.takeIf { it is Attempt.Begun }
             return attempt
         } catch (cancelled: CancellationException) {
@@ -99,14 +107,36 @@
         }
     }
 
-    private fun judge(request: ForwardedRequest, head: ResponseHeaders, split: SplitHttpResponse): Attempt {
+    private fun judge(
+        request: ForwardedRequest,
+        head: ResponseHeaders,
+        response: HttpResponse,
+        split: SplitHttpResponse,
+    ): Attempt {
         val echoed = head.get(names.requestIdentifier)
         return when {
             echoed != request.identifier -> Attempt.Lost("echo $echoed")
             head.contains(names.notRun) -> Attempt.NotRun("refused with ${head.status().code()}")
             head.status().code() == MISDIRECTED -> Attempt.NotRun("another upstream has the address")
             head.status().isSuccess && !head.contains(names.answerStamp) -> Attempt.Lost("no stamp")
-            else -> Attempt.Begun(HttpResponse.of(Forwarder.passedHeaders(head), split.body()))
+            else -> Attempt.Begun(HttpResponse.of(Forwarder.passedHeaders(head), bounded(head, response, split.body())))
+        }
+    }
+
+    /** Returns [body], which fails together with its [response] where it can't be a stream of events. */
+    private fun bounded(
+        head: ResponseHeaders,
+        response: HttpResponse,
+        body: StreamMessage<HttpData>,
+    ): StreamMessage<HttpData> {
+        if (head.contentType()?.belongsTo(MediaType.EVENT_STREAM) != true) return body
+        val meter = EventMeter(AnswerLimits.STREAM)
+        return body.peek { piece ->
+            try {
+                meter.onBytes(piece.array())
+            } catch (exceeded: AnswerTooLongException) {
+                response.breakOff(exceeded)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/EventParser.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/EventParser.kt
@@ -10,25 +10,47 @@
     val version: WeightVersion?,
 )
 
-/** Splits a body into server-sent events. An event counts once its closing empty line has arrived. */
-internal class EventParser(private val versionField: String) {
+/**
+ * Splits a body into server-sent events. An event counts once its closing empty line has arrived; one of more than
+ * [maximumLength] characters is none.
+ */
+internal class EventParser(
+    private val versionField: String,
+    private val maximumLength: Int,
+) {
     private val pending = StringBuilder()
+
+    /** Characters of [pending] that hold no end of an event. */
+    private var searched = 0
     private val decoder = Utf8Accumulator()
 
     /** True if bytes of an unfinished event are held. */
     val hasRest: Boolean get() = pending.isNotBlank() || decoder.hasRest
 
-    /** Returns the events that [bytes] completes, or null if they are no events. */
+    /**
+     * Returns the events that [bytes] completes, or null if they are no events.
+     *
+     * @throws AnswerTooLongException if an event is too long.
+     */
     fun feed(bytes: ByteArray): List<StreamEvent>? {
         pending.append(decoder.feed(bytes))
         val events = ArrayList<StreamEvent>()
+        var start = 0
         while (true) {
-            val end = pending.indexOf(SEPARATOR)
-            if (end < 0) return events
-            val block = pending.substring(0, end)
-            pending.delete(0, end + SEPARATOR.length)
-            if (block.isNotEmpty()) events += parse(block) ?: return null
+            val end = pending.indexOf(SEPARATOR, maxOf(start, searched))
+            checkLength((if (end < 0) pending.length else end) - start)
+            if (end < 0) break
+            if (end > start) events += parse(pending.substring(start, end)) ?: return null
+            start = end + SEPARATOR.length
         }
+        pending.delete(0, start)
+        // The last character may be the first of a separator.
+        searched = (pending.length - 1).coerceAtLeast(0)
+        return events
+    }
+
+    private fun checkLength(length: Int) {
+        if (length > maximumLength) throw AnswerTooLongException(AnswerPart.EVENT, maximumLength.toLong())
     }
 
     private fun parse(block: String): StreamEvent? {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.HttpObject
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.common.stream.AbortedStreamException
 import org.reactivestreams.Subscriber
 import org.reactivestreams.Subscription
 import org.zinniahoist.gateway.dialect.HeaderNames
@@ -17,17 +18,28 @@
     fun onEvent(event: StreamEvent)
 
     fun onEnd(end: RunEnd)
+
+    /** Calls [action] once everything of which this observer was told before has been dealt with. */
+    fun whenTaken(action: () -> Unit)
 }
 
-/** Reads the answer of an upstream to one item as a stream of events. */
+/**
+ * Reads the answer of an upstream to one item as a stream of events. Only so much is read that the observer has a few
+ * pieces to deal with.
+ */
 internal class ItemRun(
     private val names: HeaderNames,
     private val identifier: String,
     private val observer: RunObserver,
+    private val limits: AnswerLimits,
     private val response: HttpResponse,
 ) : Subscriber<HttpObject> {
-    private val parser = EventParser(names.weightVersion.lowercase())
-    private var status = 0
+    private val parser = EventParser(names.weightVersion.lowercase(), limits.eventBytes)
+    private lateinit var subscription: Subscription
+    private var events = 0L
+
+    /** Set where the head says that there will be no events. */
+    private var refusal: RunEnd? = null
     private var isOver = false
 
     fun start(): Unit = response.subscribe(this)
@@ -37,7 +49,10 @@
         response.abort()
     }
 
-    override fun onSubscribe(subscription: Subscription): Unit = subscription.request(Long.MAX_VALUE)
+    override fun onSubscribe(subscription: Subscription) {
+        this.subscription = subscription
+        subscription.request(PIECES_AHEAD)
+    }
 
     override fun onNext(next: HttpObject) {
         if (isOver) return
@@ -45,39 +60,54 @@
             is ResponseHeaders -> if (!next.status().isInformational) begin(next)
             is HttpData -> read(next.array())
         }
+        observer.whenTaken { subscription.request(1) }
     }
 
     private fun begin(headers: ResponseHeaders) {
-        status = headers.status().code()
+        val status = headers.status().code()
         val echoed = headers.get(names.requestIdentifier)
         when {
-            headers.contains(names.notRun) || status == MISDIRECTED -> end(RunEnd.NotRun)
-            status == OK && echoed != identifier -> end(RunEnd.Broken("answer of another request"))
+            headers.contains(names.notRun) || status == MISDIRECTED -> refuse(RunEnd.NotRun, echoed)
+            status == OK && echoed != identifier -> breakOff(RunEnd.Broken("answer of another request"))
             status == OK -> observer.onBegin(
                 headers.get(names.weightVersion)?.trim()?.toLongOrNull()?.let(::WeightVersion),
             )
-            status == UNPROCESSABLE -> end(RunEnd.Impossible)
-            status == FAILED -> end(RunEnd.Failed)
-            else -> end(RunEnd.Broken("status $status"))
+            status == UNPROCESSABLE -> refuse(RunEnd.Impossible, echoed)
+            status == FAILED -> refuse(RunEnd.Failed, echoed)
+            else -> refuse(RunEnd.Broken("status $status"), echoed)
         }
-        if (isOver && echoed != identifier) response.abort()
+    }
+
+    /** A refusal counts once its body has ended: bytes without end are no answer, whatever their head says. */
+    private fun refuse(end: RunEnd, echoed: String?) {
+        if (echoed == identifier) refusal = end else breakOff(end)
     }
 
     private fun read(bytes: ByteArray) {
-        if (status != OK) return
-        val events = parser.feed(bytes)
-        if (events == null) {
-            end(RunEnd.Broken("not an event"))
-            response.abort()
-            return
+        if (refusal != null) return
+        try {
+            val complete = parser.feed(bytes) ?: return breakOff(RunEnd.Broken("not an event"))
+            events += complete.size
+            if (events > limits.events) throw AnswerTooLongException(AnswerPart.EVENTS, limits.events)
+            complete.forEach(observer::onEvent)
+        } catch (exceeded: AnswerTooLongException) {
+            breakOff(RunEnd.Broken(exceeded.toString(), isTextSound = false), exceeded)
         }
-        events.forEach(observer::onEvent)
     }
 
-    override fun onError(cause: Throwable): Unit = end(RunEnd.Broken(UpstreamCalls.rootOf(cause).toString()))
+    override fun onError(cause: Throwable) {
+        val root = UpstreamCalls.rootOf(cause)
+        end(RunEnd.Broken(root.toString(), isTextSound = AnswerLimits.exceededBy(root) == null))
+    }
 
     override fun onComplete() {
-        end(if (parser.hasRest) RunEnd.Broken("the answer ends inside an event") else RunEnd.Completed)
+        end(refusal ?: if (parser.hasRest) RunEnd.Broken("the answer ends inside an event") else RunEnd.Completed)
+    }
+
+    /** Ends the run and closes its connection. */
+    private fun breakOff(end: RunEnd, cause: Throwable = AbortedStreamException.get()) {
+        end(end)
+        response.abort(cause)
     }
 
     private fun end(end: RunEnd) {
@@ -87,6 +117,8 @@
     }
 
     private companion object {
+        /** Pieces of a few kilobytes that may wait for the observer. */
+        const val PIECES_AHEAD = 8L
         const val OK = 200
         const val MISDIRECTED = 421
         const val UNPROCESSABLE = 422
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
@@ -1,14 +1,16 @@
 package org.zinniahoist.gateway.upstream
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.ListPage
+import org.zinniahoist.gateway.dialect.OutboundPaths
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.ListedUpstream
 import kotlin.time.Duration.Companion.milliseconds
 
 /** Reads the platform's list of upstreams. */
 internal class ListReader(
-    private val dialect: PlatformDialect,
+    private val paths: OutboundPaths,
+    private val decode: (ByteArray) -> ListPage?,
     private val calls: UpstreamCalls,
     private val endpoint: Endpoint,
 ) {
@@ -16,8 +18,11 @@
     suspend fun read(): List<ListedUpstream>? {
         val entries = ArrayList<ListedUpstream>()
         var token: String? = null
+        var bytesLeft = LIST_BYTES
         repeat(MAXIMUM_PAGES) {
-            val page = page(token) ?: return null
+            val body = body(token, bytesLeft)
+            val page = body?.let(::pageOf) ?: return null
+            bytesLeft -= body.size
             entries += page.entries
             if (page.unreadable > 0) logger.warn { "event=list-entries-unreadable count=${page.unreadable}" }
             token = page.nextToken ?: return entries
@@ -26,12 +31,20 @@
         return null
     }
 
-    private suspend fun page(token: String?) =
-        calls.get(endpoint, dialect.paths.list(token), PAGE_TIMEOUT).let { answer ->
-            val page = answer?.takeIf { it.status().code() == OK }?.let { dialect.listPage(it.content().array()) }
-            if (page == null) logger.info { "event=list-not-read status=${answer?.status()?.code()}" }
-            page
-        }
+    /** Returns the page that follows [token], or null if it can't be had or has more than [bytesLeft]. */
+    private suspend fun body(token: String?, bytesLeft: Long): ByteArray? {
+        val limits = AnswerLimits(minOf(bytesLeft, AnswerLimits.CALL.bodyBytes))
+        val answer = calls.get(endpoint, paths.list(token), PAGE_TIMEOUT, limits)
+        if (answer?.status == OK) return answer.body
+        logger.info { "event=list-not-read status=${answer?.status}" }
+        return null
+    }
+
+    private fun pageOf(body: ByteArray): ListPage? {
+        val page = decode(body)
+        if (page == null) logger.info { "event=list-not-read status=$OK bytes=${body.size}" }
+        return page
+    }
 
     private companion object {
         val logger = KotlinLogging.logger {}
@@ -39,6 +52,9 @@
 
         /** Bounds the reading of a list whose tokens lead in a circle. */
         const val MAXIMUM_PAGES = 1_000
+
+        /** Bytes of all pages of a reading. Tens of thousands of entries have as many. */
+        const val LIST_BYTES = 16L shl 20
         val PAGE_TIMEOUT = 800.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -4,7 +4,6 @@
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
-import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
@@ -12,50 +11,107 @@
 import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.future.await
+import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.model.Endpoint
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
 /** HTTP/1.1 calls to upstreams and to the platform. One connection serves one call at a time. */
-public class UpstreamCalls : AutoCloseable {
+internal class UpstreamCalls(
+    private val names: HeaderNames,
+    private val metrics: GatewayMetrics = GatewayMetrics(),
+) : AutoCloseable {
     private val factory = ClientFactory.builder()
         .connectTimeout(CONNECT_TIMEOUT)
         .idleTimeout(IDLE_TIMEOUT)
         .useHttp2Preface(false)
+        .http1MaxInitialLineLength(AnswerLimits.LINE_BYTES)
+        .http1MaxHeaderSize(AnswerLimits.HEADER_BYTES)
         .build()
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
-    /** Sends a request whose answer is read as it arrives. Aborting the answer closes the connection. */
-    public fun open(endpoint: Endpoint, headers: RequestHeaders, body: ByteArray): HttpResponse =
-        client(endpoint).execute(HttpRequest.of(headers, HttpData.wrap(body)))
-
-    /** Sends a request and returns the whole answer, or null if there is none within [timeout]. */
-    public suspend fun whole(
+    /**
+     * Sends a request whose answer is read as it arrives. Aborting the answer closes the connection. An answer beyond
+     * [limits] fails with the cause that [AnswerLimits.exceededBy] finds; [identifier] names the request in the log.
+     */
+    fun open(
         endpoint: Endpoint,
         headers: RequestHeaders,
         body: ByteArray,
-        timeout: Duration,
-    ): AggregatedHttpResponse? {
+        limits: AnswerLimits,
+        identifier: String? = null,
+        timeout: Duration = Duration.ZERO,
+    ): HttpResponse {
         val request = HttpRequest.of(headers, HttpData.wrap(body))
         val options = RequestOptions.builder()
             .responseTimeout(timeout.toJavaDuration())
+            .maxResponseLength(limits.bodyBytes)
             .build()
-        return try {
-            client(endpoint).execute(request, options).aggregate().await()
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (failure: Exception) {
-            logger.info { "event=call-failed upstream=$endpoint path=${headers.path()} cause=\"${rootOf(failure)}\"" }
-            null
+        val response = client(endpoint).execute(request, options)
+        response.whenComplete().handle { _, failure ->
+            failure?.let(AnswerLimits::exceededBy)?.let { onTooLong(it, endpoint, headers.path(), identifier) }
+        }
+        return limitHeads(response, limits)
+    }
+
+    private fun limitHeads(response: HttpResponse, limits: AnswerLimits): HttpResponse {
+        val interim = AtomicInteger()
+        return response
+            .mapInformational { head ->
+                if (interim.incrementAndGet() > AnswerLimits.INTERIM_HEADS) {
+                    response.breakOff(AnswerTooLongException(AnswerPart.INTERIM_HEADS, AnswerLimits.INTERIM_HEADS))
+                }
+                head
+            }
+            .peekHeaders { head ->
+                if (head.contentLength() > limits.bodyBytes) {
+                    response.breakOff(AnswerTooLongException(AnswerPart.BODY, limits.bodyBytes))
+                }
+            }
+    }
+
+    private fun onTooLong(
+        exceeded: AnswerTooLongException,
+        endpoint: Endpoint,
+        path: String,
+        identifier: String?,
+    ) {
+        val part = exceeded.part.name.lowercase()
+        metrics.onEvent("answer_too_long", part)
+        logger.warn {
+            "event=answer-too-long request=$identifier upstream=$endpoint path=$path part=$part " +
+                "maximum=${exceeded.maximum}"
         }
     }
 
+    /** Sends a request and returns the whole answer, or null if there is none within [timeout]. */
+    suspend fun whole(
+        endpoint: Endpoint,
+        headers: RequestHeaders,
+        body: ByteArray,
+        timeout: Duration,
+        limits: AnswerLimits = AnswerLimits.CALL,
+    ): WholeAnswer? = try {
+        val response = open(endpoint, headers, body, limits, timeout = timeout)
+        readWhole(response, names.requestIdentifier, headers.get(names.requestIdentifier))
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (failure: Exception) {
+        logger.info { "event=call-failed upstream=$endpoint path=${headers.path()} cause=\"${rootOf(failure)}\"" }
+        null
+    }
+
     /** Sends a GET request and returns the whole answer, or null if there is none within [timeout]. */
-    public suspend fun get(endpoint: Endpoint, path: String, timeout: Duration): AggregatedHttpResponse? =
-        whole(endpoint, RequestHeaders.of(HttpMethod.GET, path), ByteArray(0), timeout)
+    suspend fun get(
+        endpoint: Endpoint,
+        path: String,
+        timeout: Duration,
+        limits: AnswerLimits = AnswerLimits.CALL,
+    ): WholeAnswer? = whole(endpoint, RequestHeaders.of(HttpMethod.GET, path), ByteArray(0), timeout, limits)
 
     override fun close() {
         factory.closeAsync()
@@ -66,11 +122,10 @@
             .factory(factory)
             .responseTimeoutMillis(0)
             .writeTimeoutMillis(0)
-            .maxResponseLength(0)
             .build()
     }
 
-    public companion object {
+    companion object {
         private val logger = KotlinLogging.logger {}
 
         /** A reachable upstream accepts within a few milliseconds; one behind a partition never does. */
@@ -80,10 +135,10 @@
         private val IDLE_TIMEOUT = java.time.Duration.ofMillis(3_500)
 
         /** Returns true if no byte of the request was written. */
-        public fun isUnsent(failure: Throwable): Boolean = rootOf(failure) is UnprocessedRequestException
+        fun isUnsent(failure: Throwable): Boolean = rootOf(failure) is UnprocessedRequestException
 
         /** Returns the cause that [failure] wraps. */
-        public fun rootOf(failure: Throwable): Throwable =
+        fun rootOf(failure: Throwable): Throwable =
             if (failure is CompletionException) failure.cause ?: failure else failure
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/ForwarderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/ForwarderTest.kt
@@ -58,6 +58,14 @@
         expectThat(text(forward(RouteKind.AT_MOST_ONCE))).isEqualTo("second")
     }
 
+    /** Guards against a refusal, or a lost request, where no upstream has got a byte of it. */
+    @Test
+    fun `a request that could not be sent is sent to another upstream`(): Unit = runBlocking {
+        fixture.rawUpstream {}.close()
+        fixture.upstream { sound("second") }
+        expectThat(text(forward(RouteKind.AT_MOST_ONCE))).isEqualTo("second")
+    }
+
     /** Guards against the answer to another request, and against a success that no upstream stamped. */
     @Test
     fun `foreign and unstamped answers are not passed on`(): Unit = runBlocking {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -7,6 +7,8 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.RawAnswer
+import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.ListedUpstream
@@ -23,7 +25,8 @@
 /** Upstreams on the loopback that answer as a test wants, chosen in the order in which they were added. */
 internal class UpstreamFixture : AutoCloseable {
     private val servers = ArrayList<Server>()
-    val calls = UpstreamCalls()
+    private val rawUpstreams = ArrayList<RawUpstream>()
+    val calls = UpstreamCalls(Names)
     val upstreams = ListedInOrder()
     val clock = { Moment(System.nanoTime()) + advance }
 
@@ -35,14 +38,25 @@
         val server = Server.builder().http(0).requestTimeoutMillis(0).serviceUnder("/") { _, _ -> answer() }.build()
         server.start().join()
         servers += server
-        val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
-        val identity = UpstreamIdentity("u${servers.size}")
+        list(Endpoint("127.0.0.1", server.activeLocalPort()))
+    }
+
+    /** Adds an upstream that writes the bytes of its answers itself. */
+    fun rawUpstream(answer: RawAnswer.() -> Unit): RawUpstream {
+        val upstream = RawUpstream(answer)
+        rawUpstreams += upstream
+        list(upstream.endpoint)
+        return upstream
+    }
+
+    private fun list(endpoint: Endpoint) {
+        val identity = UpstreamIdentity("u${upstreams.listed.size + 1}")
         upstreams.listed += ListedUpstream(identity, SERVICE, endpoint, "a", slots = 1, isLeaving = false, emptyMap())
     }
 
-    fun request(kind: RouteKind, within: Duration = 10.seconds): ForwardedRequest {
+    fun request(kind: RouteKind, within: Duration = 10.seconds, target: Duration = 1.seconds): ForwardedRequest {
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
-        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind), clock() + within)
+        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind, target), clock() + within)
     }
 
     /** Head of an answer to the request of this fixture. */
@@ -54,6 +68,7 @@
 
     override fun close() {
         calls.close()
+        rawUpstreams.forEach { it.close() }
         servers.forEach { it.stop().join() }
     }
 
@@ -84,13 +99,13 @@
         const val REQUEST = "r1"
         private val SERVICE = ServiceName("drafts")
 
-        private fun routeOf(kind: RouteKind) = Route(
+        private fun routeOf(kind: RouteKind, target: Duration) = Route(
             name = "r",
             host = "h",
             pathPrefix = "/s/",
             kind = kind,
             timeout = 10.seconds,
-            target = 1.seconds,
+            target = target,
             priority = 0,
             shares = listOf(ServiceShare(SERVICE, 1)),
             maximumAttempts = 3,
