--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/EndlessAnswer.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/EndlessAnswer.kt
@@ -51,6 +51,7 @@
 
         /** Start of a head that is right in all but its end. */
         fun head(status: String = "200 OK", identifier: String = "r1"): String =
-            "HTTP/1.1 $status\r\nx-request: $identifier\r\nx-stamp: s\r\nx-version: 1\r\ncontent-type: text/event-stream\r\n"
+            "HTTP/1.1 $status\r\nx-request: $identifier\r\nx-stamp: s\r\nx-version: 1\r\n" +
+                "content-type: text/event-stream\r\n"
     }
 }
