--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -219,8 +219,10 @@
             is RunEnd.Broken -> logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
             is RunEnd.NotRun -> logger.info { "event=run-refused run=$run reason=\"no place\"" }
             is RunEnd.Misdirected -> logger.info { "event=run-refused run=$run reason=\"another upstream\"" }
-            is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible -> Unit
+            is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible, is RunEnd.NotSent -> Unit
         }
+
+        override fun whenTaken(action: () -> Unit) = post(action)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -1,10 +1,10 @@
 package org.zinniahoist.gateway.core
 
 import com.linecorp.armeria.common.HttpMethod
-import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.AnswerLimits
 import org.zinniahoist.gateway.upstream.ItemRun
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -29,17 +29,16 @@
 
     /** Sends the item of [action] to its upstream; [observer] is told of the answer, or that nothing was sent. */
     fun start(action: DispatchAction.Start, observer: RunObserver) {
-        val response = try {
-            send(action)
+        val run = try {
+            send(action, observer)
         } catch (fault: Exception) {
             onUnsent(action, fault.toString())
             null
         }
-        if (response == null) {
-            observer.onEnd(RunEnd.NotRun)
+        if (run == null) {
+            observer.onEnd(RunEnd.NotSent)
             return
         }
-        val run = ItemRun(names, action.key.item.value, observer, response)
         runs[action.run] = run
         run.start()
     }
@@ -55,14 +54,18 @@
         runs.remove(run)
     }
 
-    private fun send(action: DispatchAction.Start): HttpResponse? {
+    private fun send(action: DispatchAction.Start, observer: RunObserver): ItemRun? {
         val record = machine.job(JobIdentifier(action.key.job))
         val item = record?.item(action.key.item)
         if (item == null) {
             onUnsent(action, "the job is not kept")
             return null
         }
-        return calls.open(action.upstream.endpoint, headers(record.job, item, action), item.body)
+        val identifier = item.identifier.value
+        val limits = AnswerLimits.item(item.tokens)
+        val headers = headers(record.job, item, action)
+        val response = calls.open(action.upstream.endpoint, headers, item.body, limits, identifier)
+        return ItemRun(names, identifier, observer, limits, response)
     }
 
     private fun onUnsent(action: DispatchAction.Start, cause: String) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -42,8 +42,8 @@
     metrics: GatewayMetrics,
     private val host: () -> GroupHost,
 ) {
-    private val calls = UpstreamCalls()
-    private val listReader = ListReader(dialect, calls, settings.listEndpoint)
+    private val calls = UpstreamCalls(dialect.headers, metrics)
+    private val listReader = ListReader(dialect.paths, dialect::listPage, calls, settings.listEndpoint)
     private val leadership = Leadership()
     private val engine = BatchEngine(
         dialect,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -47,7 +47,7 @@
     AutoCloseable,
     ServiceListener {
     private val thread = EngineThread()
-    private val calls = UpstreamCalls()
+    private val calls = UpstreamCalls(UpstreamFixture.Names)
     private val server = Server.builder()
         .http(0)
         .requestTimeoutMillis(0)
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.cancel
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -30,7 +31,7 @@
 internal class WeightOrdersTest {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val thread = EngineThread()
-    private val calls = UpstreamCalls()
+    private val calls = UpstreamCalls(UpstreamFixture.Names)
     private val paths = CopyOnWriteArrayList<String>()
     private val server = Server.builder()
         .http(0)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -68,6 +68,9 @@
     /** The upstream says that it did not run the item, for want of a place. */
     public data object NotRun : RunEnd
 
+    /** The run could not be sent, and its upstream was asked nothing. */
+    public data object NotSent : RunEnd
+
     /** Another upstream has the address of the one that was meant, and did not run the item. */
     public data object Misdirected : RunEnd
 
@@ -78,7 +81,11 @@
     public data object Impossible : RunEnd
 
     /** The connection ended early, or the answer made no sense. */
-    public data class Broken(public val reason: String) : RunEnd
+    public data class Broken(
+        public val reason: String,
+        /** False if the events of the run can't be the item's text. */
+        public val isTextSound: Boolean = true,
+    ) : RunEnd
 }
 
 /** What the shell has to do for the dispatcher. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -118,7 +118,8 @@
             is RunEnd.Failed -> fail(state, current, now)
             is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryRefused(state, current, now) }
             is RunEnd.Misdirected -> emptyList<DispatchAction>().also { retryMisdirected(state, current, now) }
-            is RunEnd.Broken -> emptyList<DispatchAction>().also { retryBroken(state, current, now) }
+            is RunEnd.NotSent -> emptyList<DispatchAction>().also { table.requeue(state, now + options.refusalPause) }
+            is RunEnd.Broken -> emptyList<DispatchAction>().also { onBroken(state, current, end, now) }
         }
     }
 
@@ -160,6 +161,19 @@
         table.requeue(state, notBefore = null)
     }
 
+    private fun onBroken(
+        state: ItemState,
+        run: RunState,
+        end: RunEnd.Broken,
+        now: Moment,
+    ) {
+        if (!end.isTextSound) {
+            state.text = ItemText()
+            board.onFailure(run.upstream, now)
+        }
+        retryBroken(state, run, now)
+    }
+
     private fun retryBroken(state: ItemState, run: RunState, now: Moment) {
         if (run.events == 0) {
             state.fruitlessRuns++
