--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -81,7 +81,7 @@
         private val outcomes = Channel<Outcome>(Channel.UNLIMITED)
         private val jobs = ArrayList<Job>()
         private var running = 0
-        private var attempts = 0
+        private var started = 0
         private var failed: Outcome.Failed? = null
         private var lost: Outcome.Lost? = null
 
@@ -101,21 +101,21 @@
         private fun CoroutineScope.startAt(upstream: ListedUpstream) {
             used += upstream.identity
             running++
-            attempts++
-            val number = attempts
+            started++
+            val number = started
             jobs += launch { outcomes.send(attempt(upstream, number)) }
         }
 
         /** Prefers an upstream that was not used; one that was is asked again only after a pause. */
         private suspend fun CoroutineScope.retry() {
-            if (attempts >= route.maximumAttempts || startNext() || !mayReuse()) return
+            if (started >= route.maximumAttempts || startNext() || !mayReuse()) return
             delay(REUSE_PAUSE)
             if (!startNext()) upstreams.choose(service, emptySet())?.let { startAt(it) }
         }
 
         private suspend fun CoroutineScope.settle(): Forwarded {
             while (running > 0) {
-                val mayHedge = isRepeatable && running == 1 && attempts < route.maximumAttempts
+                val mayHedge = isRepeatable && running == 1 && started < route.maximumAttempts
                 val outcome = if (mayHedge) {
                     withTimeoutOrNull(route.target * HEDGE_SHARE) { outcomes.receive() }
                 } else {
@@ -123,7 +123,7 @@
                 }
                 if (outcome == null) {
                     if (!startNext()) return finish(outcomes.receive()) ?: continue
-                    logger.info { "event=hedged request=${request.identifier} attempts=$attempts" }
+                    logger.info { "event=hedged request=${request.identifier} attempts=$started" }
                     continue
                 }
                 finish(outcome)?.let { return it }
@@ -153,7 +153,7 @@
         private fun unanswered(): Forwarded {
             failed?.let { return Forwarded.Answer(it.answer) }
             lost?.let { return Forwarded.NoAnswer(it.cause) }
-            return Forwarded.NotRun("refused in $attempts attempts by ${used.size} upstreams")
+            return Forwarded.NotRun("refused in $started attempts by ${used.size} upstreams")
         }
 
         private suspend fun attempt(upstream: ListedUpstream, number: Int): Outcome {
