Dispatch: keep the pause of a full upstream while its other runs go on

What callers would see: hundreds of refused runs a second on an upstream whose other places are taken by other callers, and items that lose their time there.

Cause, found by the review of the incident: each event of a run on the upstream ended its pause, since a refusal was noted as a suspension, which a sign of life ends.

That an upstream is full now stands apart from its suspension.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -28,6 +28,9 @@
     internal var suspendedUntil: Moment? = null
     internal var failedAt: Moment? = null
 
+    /** The upstream said that it had no place; a sign of life from a run that is on it says nothing else. */
+    internal var fullUntil: Moment? = null
+
     /** A suspended upstream may be probed from this moment on, if no other can be used. */
     internal var probeFrom: Moment? = null
     private val versions = HashMap(listed.versions)
@@ -82,7 +85,7 @@
 
     /** Returns the upstreams of [service] that may get new work at [now]. */
     public fun usable(service: ServiceName, now: Moment): List<UpstreamCard> = cards.values.filter {
-        it.listed.service == service && !it.listed.isLeaving && !isSuspended(it, now)
+        it.listed.service == service && !it.listed.isLeaving && !isSuspended(it, now) && !isFull(it, now)
     }
 
     /**
@@ -91,10 +94,14 @@
      * If all of these are suspended, one run at a time finds out whether an upstream is back.
      */
     public fun candidates(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
-        val able = cards.values.filter { it.listed.service == service && !it.listed.isLeaving && canRun(it) }
+        val able = cards.values.filter {
+            it.listed.service == service && !it.listed.isLeaving && !isFull(it, now) && canRun(it)
+        }
         return able.filterNot { isSuspended(it, now) }.ifEmpty { able.filter { mayProbe(it, now) } }
     }
 
+    private fun isFull(card: UpstreamCard, now: Moment): Boolean = card.fullUntil?.let { now < it } == true
+
     private fun mayProbe(card: UpstreamCard, now: Moment): Boolean =
         card.inFlight == 0 && card.probeFrom?.let { now >= it } != false
 
@@ -115,9 +122,7 @@
     /** Notes that the upstream had no place at [now]; it is avoided for [pause], as places come free at any time. */
     public fun onRefusal(identity: UpstreamIdentity, now: Moment, pause: Duration) {
         val card = cards[identity] ?: return
-        if (isSuspended(card, now)) return
-        card.suspendedUntil = now + pause
-        card.probeFrom = now + pause
+        card.fullUntil = now + pause
     }
 
     /**
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/RefusedRunTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/RefusedRunTest.kt
@@ -98,7 +98,33 @@
         expectThat((1..4).any { starts(start + 6.seconds + TICK * it).isNotEmpty() }).isTrue()
     }
 
+    /** Guards against hundreds of runs a second on an upstream whose other places are full, while its streams go on. */
+    @Test
+    fun `events of other runs do not end the pause of a full upstream`() {
+        dispatcher.board.relist(listOf(upstream("refusing")))
+        dispatcher.submit(listOf(item("busy")))
+        val busy = starts(start).single()
+        dispatcher.onBegin(busy.run, version = null, now = start)
+        dispatcher.submit(List(10 * SLOTS) { item("x$it") })
+        var refused = 0
+        repeat(EVENTS) { event ->
+            val now = start + EVENT_INTERVAL * event
+            dispatcher.onEvent(busy.run, event + 1L, "e", version = null, now = now)
+            val refusing = starts(now)
+            refusing.forEach { dispatcher.onEnd(it.run, RunEnd.NotRun, now) }
+            refused += refusing.size
+        }
+        expectThat(refused).isLessThan(PAUSES * SLOTS)
+    }
+
     private companion object {
+        val EVENT_INTERVAL = 10.milliseconds
+
+        /** Events in a second. */
+        const val EVENTS = 100
+
+        /** Pauses of 60 ms in a second, rounded up; each may be followed by a run on each place. */
+        const val PAUSES = 17
         val SERVICE = ServiceName("drafts")
         const val SLOTS = 4
         val TICK = 50.milliseconds
