Core: end the process when the thread of its engine meets an error

What callers would see: a leader that keeps its leadership and starts no item any more.

Cause, found by the review of the incident: an error of the runtime that is not an exception, such as a full stack or a lack of direct memory, ended the repeated task for good, and nothing else noticed. It is the class of fault of the incident: a thread that ends while its process goes on.

The engine's thread reports such an error, and the process ends and is started again.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -51,7 +51,7 @@
 ) : GatewayProcess,
     ServiceListener {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val thread = EngineThread()
+    private val thread = EngineThread(onFailure)
     private val machine = ServiceStateMachine(this)
     private val jobs = JobCalls(dialect, machine) { host }
     private val hello = LinkMessage.Hello(
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
@@ -5,8 +5,13 @@
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 
-/** The thread on which all decisions of a core are made. A task that throws is logged and the thread goes on. */
-internal class EngineThread : AutoCloseable {
+/**
+ * The thread on which all decisions of a core are made. A task that throws an exception is logged, and the thread
+ * goes on.
+ *
+ * @param onFailure told of an error of the runtime, after which the process can't be relied on; must not block.
+ */
+internal class EngineThread(private val onFailure: (String) -> Unit) : AutoCloseable {
     private val executor = Executors.newSingleThreadScheduledExecutor {
         Thread(it, "engine").apply { isDaemon = true }
     }
@@ -28,6 +33,9 @@
         task()
     } catch (fault: Exception) {
         logger.error(fault) { "event=$event" }
+    } catch (fault: Error) {
+        logger.error(fault) { "event=$event" }
+        onFailure(fault.toString())
     }
 
     private companion object {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -46,7 +46,7 @@
 internal class EngineFixture :
     AutoCloseable,
     ServiceListener {
-    private val thread = EngineThread()
+    private val thread = EngineThread(onFailure = {})
     private val calls = UpstreamCalls(UpstreamFixture.Names)
     private val server = Server.builder()
         .http(0)
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
@@ -30,7 +30,7 @@
 
 internal class WeightOrdersTest {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val thread = EngineThread()
+    private val thread = EngineThread(onFailure = {})
     private val calls = UpstreamCalls(UpstreamFixture.Names)
     private val paths = CopyOnWriteArrayList<String>()
     private val server = Server.builder()
