--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -237,7 +237,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
-        /** An election takes about a second; a client that is refused loses more than one that waits for it. */
+        /** The longest usual time without a leader; a client that is refused loses more than one that waits for it. */
         val SUBMIT_TIMEOUT = 2.seconds
         val CALL_TIMEOUT = 1_400.milliseconds
         const val LONGEST_WAIT_MILLISECONDS = 1_000L
