--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -112,7 +112,7 @@
         if (roundRequested && isEstablished) {
             round++
             roundRequested = false
-            progress.values.forEach { replication.heartbeat(it, round) }
+            progress.values.forEach { replication.confirm(it, round) }
         }
         progress.values.forEach { replication.sendEntries(it, round) }
     }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
@@ -20,6 +20,15 @@
         }
     }
 
+    /**
+     * Asks the peer to confirm the leadership for [round]. Unlike a heartbeat this repeats no entries and no part of a
+     * snapshot: rounds follow the reads, of which there may be hundreds a second.
+     */
+    fun confirm(peer: Progress, round: Long) {
+        val isProbed = peer.mode != Progress.Mode.SNAPSHOT && peer.nextIndex > log.baseIndex
+        if (isProbed) sendAppend(peer, emptyList(), round)
+    }
+
     /** Sends new entries as far as the mode of [peer] allows. */
     fun sendEntries(peer: Progress, round: Long) {
         while (mayContinue(peer) && peer.nextIndex <= log.lastIndex) {
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -118,6 +118,16 @@
             expectThat(more.commandBytesTo(1)).isGreaterThan(0)
         }
 
+        /** Guards against a leader that sends a replica the same entries again with each read of a client. */
+        @Test
+        fun `reads repeat no entries to a replica that has not answered`() {
+            val replica = leader()
+            replica.receive(1, AppendResponse(true, 2, 2, 0))
+            repeat(8) { replica.propose(it.toLong(), ByteArray(512 * 1_024)) }
+            val sent = (100L..150L).flatMap { replica.step(ReplicaEvent.Read(it)) }
+            expectThat(sent.commandBytesTo(2)).isLessThanOrEqualTo(1L shl 20)
+        }
+
         private fun Replica.propose(request: Long, command: ByteArray) =
             step(ReplicaEvent.Propose(request, 1_000, command))
 
