--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Leadership.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Leadership.kt
@@ -24,7 +24,7 @@
     /** True while the work of the leader is done here. */
     val isActive: Boolean get() = place is Place.Active
 
-    /** The group was seen in [term]. A term that began and ended between two looks is not seen. */
+    /** The group was seen in [term]. A term that began and ended between two calls is not seen. */
     fun onStatus(isLeader: Boolean, term: Long): List<LeadershipAction> {
         if (isLeader && place.term == term) return emptyList()
         val actions = ArrayList<LeadershipAction>()
@@ -34,7 +34,7 @@
         return actions
     }
 
-    /** The [fence] of [term] was drawn; null if it could not be had, and then the next look draws it again. */
+    /** The [fence] of [term] was drawn; null if it could not be had, and then the next status draws it again. */
     fun onFence(term: Long, fence: FencingToken?): List<LeadershipAction> {
         if (place != Place.Drawing(term)) return emptyList()
         place = if (fence == null) Place.Following else Place.Active(term)
