Settings: declare the keys of branches and of contracts in files of their own

The declarations stand in BranchKeys and ContractKeys with the sections that they form; TreeSchema looks keys up. The generated reference is unchanged (CommittedFilesTest).

--- a/settings/src/main/kotlin/org/zinniahoist/settings/EffectiveBuilder.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/EffectiveBuilder.kt
@@ -17,21 +17,21 @@
         admission = admission(),
         limits =
         RequestLimits(
-            bodySize = reader.value(TreeSchema.bodySize),
-            defaultBudget = reader.value(TreeSchema.defaultBudget),
-            maximumBudget = reader.value(TreeSchema.maximumBudget),
+            bodySize = reader.value(BranchKeys.bodySize),
+            defaultBudget = reader.value(BranchKeys.defaultBudget),
+            maximumBudget = reader.value(BranchKeys.maximumBudget),
         ),
         retry = retry(),
         samples =
         SampleSettings(
-            stalenessBound = integer(TreeSchema.stalenessBound),
-            stalenessPreference = reader.value(TreeSchema.stalenessPreference),
-            leaseTime = reader.value(TreeSchema.leaseTime),
+            stalenessBound = integer(BranchKeys.stalenessBound),
+            stalenessPreference = reader.value(BranchKeys.stalenessPreference),
+            leaseTime = reader.value(BranchKeys.leaseTime),
         ),
-        ledgerRetention = reader.value(TreeSchema.ledgerRetention),
-        suspectRetention = reader.value(TreeSchema.suspectRetention),
-        platformListAge = reader.value(TreeSchema.listAge),
-        drainTimeBound = reader.value(TreeSchema.drainTime),
+        ledgerRetention = reader.value(BranchKeys.ledgerRetention),
+        suspectRetention = reader.value(BranchKeys.suspectRetention),
+        platformListAge = reader.value(BranchKeys.listAge),
+        drainTimeBound = reader.value(BranchKeys.drainTime),
         trainers = reader.names("trainer").associate { TrainerName(it) to trainer(it) },
         callers = reader.names("caller").associate { CallerName(it) to caller(it) },
         models = reader.names("model").associate { ModelName(it) to model(it) },
@@ -40,67 +40,67 @@
     private fun integer(key: SettingKey<Long>, name: String = ""): Int = reader.value(key, name).toInt()
 
     private fun routing(): RoutingSettings = RoutingSettings(
-        subsetSize = integer(TreeSchema.subsetSize),
-        choices = integer(TreeSchema.choices),
-        ejectionShare = reader.value(TreeSchema.ejectionShare),
-        ejectionFailures = integer(TreeSchema.ejectionFailures),
-        ejectionTime = reader.value(TreeSchema.ejectionTime),
-        affinityLoadBound = reader.value(TreeSchema.affinityBound),
-        prefixLength = integer(TreeSchema.prefixLength),
-        reportAge = reader.value(TreeSchema.reportAge),
+        subsetSize = integer(BranchKeys.subsetSize),
+        choices = integer(BranchKeys.choices),
+        ejectionShare = reader.value(BranchKeys.ejectionShare),
+        ejectionFailures = integer(BranchKeys.ejectionFailures),
+        ejectionTime = reader.value(BranchKeys.ejectionTime),
+        affinityLoadBound = reader.value(BranchKeys.affinityBound),
+        prefixLength = integer(BranchKeys.prefixLength),
+        reportAge = reader.value(BranchKeys.reportAge),
     )
 
     private fun admission(): AdmissionSettings = AdmissionSettings(
-        concurrency = integer(TreeSchema.concurrency),
-        concurrencyMinimum = integer(TreeSchema.concurrencyMinimum),
-        concurrencyMaximum = integer(TreeSchema.concurrencyMaximum),
-        queueLength = integer(TreeSchema.queueLength),
-        starvationBound = reader.value(TreeSchema.starvationBound),
-        retryAfter = reader.value(TreeSchema.retryAfter),
+        concurrency = integer(BranchKeys.concurrency),
+        concurrencyMinimum = integer(BranchKeys.concurrencyMinimum),
+        concurrencyMaximum = integer(BranchKeys.concurrencyMaximum),
+        queueLength = integer(BranchKeys.queueLength),
+        starvationBound = reader.value(BranchKeys.starvationBound),
+        retryAfter = reader.value(BranchKeys.retryAfter),
     )
 
     private fun retry(): RetrySettings = RetrySettings(
-        budget = reader.value(TreeSchema.retryBudget),
-        attempts = integer(TreeSchema.attempts),
-        backoff = reader.value(TreeSchema.backoff),
-        hedge = reader.value(TreeSchema.hedge),
-        hedgeDelay = reader.value(TreeSchema.hedgeDelay),
-        hedgeShare = reader.value(TreeSchema.hedgeShare),
+        budget = reader.value(BranchKeys.retryBudget),
+        attempts = integer(BranchKeys.attempts),
+        backoff = reader.value(BranchKeys.backoff),
+        hedge = reader.value(BranchKeys.hedge),
+        hedgeDelay = reader.value(BranchKeys.hedgeDelay),
+        hedgeShare = reader.value(BranchKeys.hedgeShare),
     )
 
     private fun trainer(name: String): TrainerTerms {
-        val bound = reader.find(TreeSchema.trainerBound, name) ?: reader.value(TreeSchema.stalenessBound)
-        val preference = reader.find(TreeSchema.trainerPreference, name)
+        val bound = reader.find(ContractKeys.trainerBound, name) ?: reader.value(BranchKeys.stalenessBound)
+        val preference = reader.find(ContractKeys.trainerPreference, name)
         val contract =
             TrainingContract(
                 trainer = TrainerName(name),
-                homeRegion = Region(reader.value(TreeSchema.trainerRegion, name)),
-                model = ModelName(reader.value(TreeSchema.trainerModel, name)),
+                homeRegion = Region(reader.value(ContractKeys.trainerRegion, name)),
+                model = ModelName(reader.value(ContractKeys.trainerModel, name)),
                 stalenessBound = bound.toInt(),
-                weight = integer(TreeSchema.trainerWeight, name),
-                stalenessPreference = preference ?: reader.value(TreeSchema.stalenessPreference),
+                weight = integer(ContractKeys.trainerWeight, name),
+                stalenessPreference = preference ?: reader.value(BranchKeys.stalenessPreference),
             )
-        return TrainerTerms(contract, reader.find(TreeSchema.trainerToken, name))
+        return TrainerTerms(contract, reader.find(ContractKeys.trainerToken, name))
     }
 
     private fun caller(name: String): CallerTerms {
         val contract =
             Contract(
                 caller = CallerName(name),
-                homeRegion = Region(reader.value(TreeSchema.callerRegion, name)),
-                maximumConcurrency = integer(TreeSchema.callerConcurrency, name),
-                defaultBudget = reader.find(TreeSchema.callerBudget, name) ?: reader.value(TreeSchema.defaultBudget),
+                homeRegion = Region(reader.value(ContractKeys.callerRegion, name)),
+                maximumConcurrency = integer(ContractKeys.callerConcurrency, name),
+                defaultBudget = reader.find(ContractKeys.callerBudget, name) ?: reader.value(BranchKeys.defaultBudget),
                 nonIdempotentServices =
-                reader.value(TreeSchema.callerServices, name).map { ServiceName(it) }.toSet(),
+                reader.value(ContractKeys.callerServices, name).map { ServiceName(it) }.toSet(),
             )
-        return CallerTerms(contract, reader.find(TreeSchema.callerToken, name))
+        return CallerTerms(contract, reader.find(ContractKeys.callerToken, name))
     }
 
     private fun model(name: String): ModelSettings = ModelSettings(
-        rolloutWave = reader.value(TreeSchema.rolloutWave, name),
-        servingShare = reader.value(TreeSchema.servingShare, name),
-        rolloutTime = reader.value(TreeSchema.rolloutTime, name),
-        fanOut = integer(TreeSchema.fanOut, name),
-        storeRate = reader.value(TreeSchema.storeRate, name),
+        rolloutWave = reader.value(ContractKeys.rolloutWave, name),
+        servingShare = reader.value(ContractKeys.servingShare, name),
+        rolloutTime = reader.value(ContractKeys.rolloutTime, name),
+        fanOut = integer(ContractKeys.fanOut, name),
+        storeRate = reader.value(ContractKeys.storeRate, name),
     )
 }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/TreeRules.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/TreeRules.kt
@@ -15,8 +15,8 @@
 
     fun check(): List<EditError> {
         checkConcurrency()
-        if (reader.value(TreeSchema.defaultBudget) > reader.value(TreeSchema.maximumBudget)) {
-            reject(TreeSchema.defaultBudget.name, "at most limits.maximum-budget: ${text(TreeSchema.maximumBudget)}")
+        if (reader.value(BranchKeys.defaultBudget) > reader.value(BranchKeys.maximumBudget)) {
+            reject(BranchKeys.defaultBudget.name, "at most limits.maximum-budget: ${text(BranchKeys.maximumBudget)}")
         }
         TreeSchema.groups.forEach { checkRequired(it) }
         checkTrainers()
@@ -27,13 +27,13 @@
     }
 
     private fun checkConcurrency() {
-        val minimum = reader.value(TreeSchema.concurrencyMinimum)
-        val maximum = reader.value(TreeSchema.concurrencyMaximum)
+        val minimum = reader.value(BranchKeys.concurrencyMinimum)
+        val maximum = reader.value(BranchKeys.concurrencyMaximum)
         if (minimum > maximum) {
-            reject(TreeSchema.concurrencyMinimum.name, "at most admission.concurrency-maximum: $maximum")
-        } else if (reader.value(TreeSchema.concurrency) !in minimum..maximum) {
+            reject(BranchKeys.concurrencyMinimum.name, "at most admission.concurrency-maximum: $maximum")
+        } else if (reader.value(BranchKeys.concurrency) !in minimum..maximum) {
             reject(
-                TreeSchema.concurrency.name,
+                BranchKeys.concurrency.name,
                 "from admission.concurrency-minimum to admission.concurrency-maximum: $minimum to $maximum",
             )
         }
@@ -50,7 +50,7 @@
     private fun checkTrainers() {
         val models = reader.names("model")
         reader.names("trainer").forEach { trainer ->
-            val model = reader.find(TreeSchema.trainerModel, trainer)
+            val model = reader.find(ContractKeys.trainerModel, trainer)
             if (model != null && model !in models) {
                 reject("trainer.$trainer.model", "a declared model: ${models.joinToString(", ").ifEmpty { "none" }}")
             }
@@ -58,9 +58,9 @@
     }
 
     private fun checkCallers() {
-        val maximum = reader.value(TreeSchema.maximumBudget)
+        val maximum = reader.value(BranchKeys.maximumBudget)
         reader.names("caller").forEach { caller ->
-            val budget = reader.find(TreeSchema.callerBudget, caller)
+            val budget = reader.find(ContractKeys.callerBudget, caller)
             if (budget != null && budget > maximum) {
                 reject("caller.$caller.budget", "at most limits.maximum-budget: $maximum")
             }
@@ -69,8 +69,8 @@
 
     private fun checkModels() {
         reader.names("model").forEach { model ->
-            val wave = reader.value(TreeSchema.rolloutWave, model)
-            val serving = reader.value(TreeSchema.servingShare, model)
+            val wave = reader.value(ContractKeys.rolloutWave, model)
+            val serving = reader.value(ContractKeys.servingShare, model)
             if (wave + serving > 1) {
                 reject("model.$model.rollout-wave", "together with model.$model.serving-share ($serving) at most 1.0")
             }
