Dispatch: give the probes of suspended upstreams to items in turn

Callers of a batch job or a step see a sound item without a result, although the only upstream that can run it is back and has room: an item that crashes the upstream takes each probe.

Cause: waiting items were placed by urgency, probes included. A suspected item pauses for 1 s at most, which is the longest time between two probes, so it is ready for each of them.

Probes now go to the item that has not started for longest; all other places go by urgency as before. n crashing items cost a sound one n probes at most.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -134,6 +134,8 @@
         }
         table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
         actions += table.startWaiting(now) { placement.choose(it, now) }
+        // An item that crashes upstreams is often the most urgent one and would take each probe.
+        if (board.hasProbes(now)) actions += table.startInTurn(now) { placement.chooseProbe(it, now) }
         return actions
     }
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -11,12 +11,28 @@
     private val options: DispatchOptions,
 ) {
     /** Returns the upstream on which the item of [state] starts at [now], or null if it has to wait. */
-    fun choose(state: ItemState, now: Moment): UpstreamCard? =
-        if (pausedUntil(state, now) != null) null else best(state, now)
+    fun choose(state: ItemState, now: Moment): UpstreamCard? = if (pausedUntil(state, now) !=
+        null
+    ) {
+        null
+    } else {
+        best(state, board.ready(state.work.service, now, able(state)), now)
+    }
+
+    /** Returns the suspended upstream that the item of [state] may probe at [now], or null. */
+    fun chooseProbe(state: ItemState, now: Moment): UpstreamCard? = if (pausedUntil(state, now) !=
+        null
+    ) {
+        null
+    } else {
+        best(state, board.probes(state.work.service, now, able(state)), now)
+    }
+
+    private fun able(state: ItemState): (UpstreamCard) -> Boolean = { canRun(it, state.work) }
 
     /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun best(state: ItemState, now: Moment): UpstreamCard? =
-        state.avoided.prefer(candidates(state.work, now), now)
+    private fun best(state: ItemState, candidates: List<UpstreamCard>, now: Moment): UpstreamCard? =
+        state.avoided.prefer(candidates, now)
             .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
 
     private fun pausedUntil(state: ItemState, now: Moment): Moment? = state.notBefore?.takeIf { now < it }
@@ -54,7 +70,7 @@
         val pausedUntil = pausedUntil(state, now)
         val reason = when {
             pausedUntil != null -> WaitReason.Paused(pausedUntil - now)
-            best(state, now) == null -> WaitReason.NoCandidate
+            candidates(state.work, now).isEmpty() -> WaitReason.NoCandidate
             else -> WaitReason.Startable
         }
         val waited = state.waitingSince?.let { now - it } ?: Duration.ZERO
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -26,6 +26,7 @@
 
     /** First tick that found the item waiting after its submission or its last event. */
     var waitingSince: Moment? = null
+    var lastStartedAt: Moment? = null
     var failures = 0
     var fruitlessRuns = 0
     var moves = 0
@@ -81,14 +82,26 @@
     }
 
     /** Starts the waiting items for which [choose] returns an upstream, the most urgent first. */
-    fun startWaiting(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> {
+    fun startWaiting(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
+        startIn(waiting, now, choose)
+
+    /** Starts the waiting items for which [choose] returns an upstream, first those that have not started for longest. */
+    fun startInTurn(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
+        startIn(waiting.sortedBy { it.lastStartedAt ?: it.waitingSince ?: now }, now, choose)
+
+    private fun startIn(
+        order: List<ItemState>,
+        now: Moment,
+        choose: (ItemState) -> UpstreamCard?,
+    ): List<DispatchAction.Start> {
         val actions = ArrayList<DispatchAction.Start>()
-        val still = ArrayList<ItemState>()
-        for (state in waiting) {
-            val card = choose(state)
-            if (card == null) still += state else actions += start(state, card, now)
+        val started = HashSet<ItemState>()
+        for (state in order) {
+            val card = choose(state) ?: continue
+            actions += start(state, card, now)
+            started += state
         }
-        waiting = still
+        if (started.isNotEmpty()) waiting.removeAll(started)
         return actions
     }
 
@@ -96,6 +109,7 @@
         val run = nextRun++
         card.inFlight++
         state.restart = false
+        state.lastStartedAt = now
         state.run = RunState(run, card.listed.identity, startedAt = now, lastProgress = now)
         runs[run] = state
         return DispatchAction.Start(run, state.work.key, card.listed, state.text.lastNumber)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -89,17 +89,30 @@
     }
 
     /**
-     * Returns the upstreams of [service] among which a run may be placed at [now], of those that [canRun] it.
-     *
-     * If all of these are suspended, one run at a time finds out whether an upstream is back.
+     * Returns the upstreams of [service] among which a run may be placed at [now], of those that [canRun] it: those that
+     * are not suspended, or else those that may be probed.
+     */
+    public fun candidates(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> =
+        ready(service, now, canRun).ifEmpty { probes(service, now, canRun) }
+
+    /** Returns the upstreams of [service] that [canRun] a run at [now] and are not suspended. */
+    public fun ready(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> =
+        usable(service, now).filter(canRun)
+
+    /**
+     * Returns the suspended upstreams of [service] on which one run may find out at [now] whether they are back, of those
+     * that [canRun] it; none while another upstream can run it.
      */
-    public fun candidates(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
-        val able = cards.values.filter {
-            it.listed.service == service && !it.listed.isLeaving && !isFull(it, now) && canRun(it)
+    public fun probes(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
+        if (ready(service, now, canRun).isNotEmpty()) return emptyList()
+        return cards.values.filter {
+            it.listed.service == service && !it.listed.isLeaving && !isFull(it, now) && mayProbe(it, now) && canRun(it)
         }
-        return able.filterNot { isSuspended(it, now) }.ifEmpty { able.filter { mayProbe(it, now) } }
     }
 
+    /** Returns true if a suspended upstream may be probed at [now]. */
+    public fun hasProbes(now: Moment): Boolean = cards.values.any { isSuspended(it, now) && mayProbe(it, now) }
+
     private fun isFull(card: UpstreamCard, now: Moment): Boolean = card.fullUntil?.let { now < it } == true
 
     private fun mayProbe(card: UpstreamCard, now: Moment): Boolean =
