Dispatch: keep what is known of an upstream that a reading of the list lacks

Callers see runs refused or slow: an upstream that one reading of the platform's list lacks comes back without the count of its runs and gets as many again as it has places.

Cause: relist dropped the card of an upstream at the first reading without it, while its runs went on.

The card is now kept apart, with the count of its runs, its pace, its failures and its weights, while runs go on there and for ten readings. Nothing is placed on it before the list shows it again. A load whose upstream is missing ends, and its mark with it, as the card comes back.

Evidence: 'an upstream that comes back still has its runs' in MissedReadingTest failed on the code before: two more runs were started on two taken places. Its other tests passed before and guard the change.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -71,7 +71,7 @@
         items.clear()
         runs.clear()
         waiting = ArrayList()
-        board.all.forEach { it.inFlight = 0 }
+        board.releaseAll()
     }
 
     /** Lets the item of [state] wait again, until [notBefore] at least. */
@@ -118,7 +118,7 @@
     /** Frees the place of [run] and returns its number. */
     fun release(run: RunState): Long {
         runs.remove(run.number)?.run = null
-        board.card(run.upstream)?.let { it.inFlight = (it.inFlight - 1).coerceAtLeast(0) }
+        board.release(run.upstream)
         return run.number
     }
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -33,6 +33,9 @@
 
     /** A suspended upstream may be probed from this moment on, if no other can be used. */
     internal var probeFrom: Moment? = null
+
+    /** Readings of the list in a row that lacked the upstream. */
+    internal var missedReadings = 0
     private val versions = HashMap(listed.versions)
 
     /** Models of which the upstream has weights. */
@@ -67,20 +70,39 @@
 ) {
     private val cards = LinkedHashMap<UpstreamIdentity, UpstreamCard>()
 
+    /** Upstreams that the latest readings of the list lack, though runs may go on there. */
+    private val absent = LinkedHashMap<UpstreamIdentity, UpstreamCard>()
+
     /** All upstreams of the latest list. */
     public val all: Collection<UpstreamCard> get() = cards.values
 
     /** Returns the upstream with [identity], or null if the list no longer shows it. */
     public fun card(identity: UpstreamIdentity): UpstreamCard? = cards[identity]
 
-    /** Takes over the platform's list. */
+    /** Takes over the platform's list. An upstream that some readings lack comes back with what is known of it. */
     public fun relist(entries: List<ListedUpstream>) {
         val present = entries.mapTo(HashSet()) { it.identity }
+        absent += cards.filterKeys { it !in present }
         cards.keys.retainAll(present)
         for (entry in entries) {
-            val card = cards[entry.identity]
-            if (card == null) cards[entry.identity] = UpstreamCard(entry) else card.relist(entry)
+            val card = cards[entry.identity] ?: absent.remove(entry.identity)
+            card?.missedReadings = 0
+            card?.relist(entry)
+            cards[entry.identity] = card ?: UpstreamCard(entry)
         }
+        absent.values.forEach { it.missedReadings++ }
+        absent.values.removeIf { it.inFlight == 0 && it.missedReadings > REMEMBERED_READINGS }
+    }
+
+    /** Counts one run less on the upstream with [identity], listed or not. */
+    internal fun release(identity: UpstreamIdentity) {
+        val card = cards[identity] ?: absent[identity] ?: return
+        card.inFlight = (card.inFlight - 1).coerceAtLeast(0)
+    }
+
+    /** All runs were ended. */
+    internal fun releaseAll() {
+        (cards.values + absent.values).forEach { it.inFlight = 0 }
     }
 
     /** Returns the upstreams of [service] that may get new work at [now]. */
@@ -184,6 +206,9 @@
         /** With the longest pause of a suspected item, an item is tried well within the 5 s that are allowed. */
         val LONGEST_PROBE_INTERVAL = 1.seconds
         const val MAXIMUM_DOUBLINGS = 5
+
+        /** Readings of the list; upstreams that are gone for good are forgotten after these. */
+        const val REMEMBERED_READINGS = 10
         const val MICROSECONDS_PER_MILLISECOND = 1_000.0
 
         /** Follows an upstream that slows down within about ten events. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -67,9 +67,8 @@
 
     /** Forgets all loads, because this process no longer decides. */
     public fun clear() {
-        loads.clear()
+        loads.values.toList().forEach(::finish)
         rests.clear()
-        board.all.forEach { it.isLoading = false }
     }
 
     /**
@@ -83,7 +82,7 @@
         openTokens: (ModelName) -> Long = { 0 },
         modeOf: (ModelName) -> LoadMode,
     ): List<LoadAction> {
-        loads.keys.filter { board.card(it) == null }.forEach { loads.remove(it) }
+        loads.values.filter { board.card(it.card.listed.identity) !== it.card }.forEach(::finish)
         rests.keys.removeIf { board.card(it) == null }
         homes.assign(targets, openTokens, now)
         val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
