Entry: refuse requests before the connections close at its end

Callers saw: around a planned stop, a request on a kept connection reached an upstream, and its connection ended without an answer.

Cause: a stopping entry passed on whatever arrived until the moment at which it closed its connections. It looked for a moment without requests every 20 ms and then stopped its server; a request that arrived between the two was passed on and cut. An entry that was never without requests cut all that it had in flight 0.9 s before the grace ends.

From 3 s after SIGTERM, when new connections go elsewhere, an entry now refuses what arrives with 503 and Connection: close, and closes its connections once all requests before have their answers. A request is counted before the phase is read, so none is passed on unseen, and counts until its answer is written, not until it is handed to the encoder.

Evidence: EntryStopTest runs a whole entry with clients on kept connections. On the code before, both tests failed: 29 of 32 requests in flight were cut at the end of a grace of 5 s, and one request was cut in four stops of an entry that is quiet now and then. Both pass with the change (one run each).

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -56,27 +56,28 @@
     @Volatile
     var routes: RouteTable? = null
 
-    /** Set when the process stops: connections close after the request that they carry. */
     @Volatile
-    var isStopping: Boolean = false
+    var phase: EntryPhase = EntryPhase.SERVING
 
     /** Requests without a complete answer. */
     val requestsInFlight: Int get() = inFlight.get()
 
     override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
-        if (isStopping) context.initiateConnectionShutdown()
+        // Counted before the phase is read, so that no request is passed on unseen once all are refused.
         inFlight.incrementAndGet()
-        val answer = scope.future { guarded(request) }
+        context.log().whenComplete().thenRun { inFlight.decrementAndGet() }
+        val present = phase
+        if (present != EntryPhase.SERVING) context.initiateConnectionShutdown()
+        val answer = scope.future { guarded(request, present) }
         val response = HttpResponse.of(answer)
         response.whenComplete().handle { _, failure ->
-            inFlight.decrementAndGet()
             if (failure != null) answer.cancel(true)
         }
         return response
     }
 
-    private suspend fun guarded(request: HttpRequest): HttpResponse = try {
-        answer(request)
+    private suspend fun guarded(request: HttpRequest, phase: EntryPhase): HttpResponse = try {
+        if (phase == EntryPhase.REFUSING) refuseStopping(request) else answer(request)
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (_: ContentTooLargeException) {
@@ -86,6 +87,11 @@
         HttpResponse.of(HttpStatus.BAD_GATEWAY)
     }
 
+    private suspend fun refuseStopping(request: HttpRequest): HttpResponse {
+        request.aggregate().await()
+        return refusal(request, RefusalCause.STOPPING, "the process stops")
+    }
+
     private suspend fun answer(request: HttpRequest): HttpResponse {
         val arrival = clock()
         val path = request.path().substringBefore('?')
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -10,7 +10,6 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.zinniahoist.gateway.GatewayProcess
@@ -36,7 +35,6 @@
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
 import java.net.InetSocketAddress
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** The role `entry`: serves clients. */
@@ -75,7 +73,8 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
-    private fun isReady(): Boolean = !http.isStopping && core.isInformed && http.routes != null && directory.isKnown
+    private fun isReady(): Boolean =
+        http.phase == EntryPhase.SERVING && core.isInformed && http.routes != null && directory.isKnown
 
     private fun serverOn(endpoint: Endpoint, configure: (ServerBuilder) -> Unit): Server {
         val builder = Server.builder()
@@ -102,15 +101,7 @@
 
     override fun stop() {
         logger.info { "event=stopping role=entry machine=${settings.machine} in-flight=${http.requestsInFlight}" }
-        http.isStopping = true
-        val start = clock()
-        runBlocking {
-            while (clock() - start < settings.grace - RESERVE) {
-                val isQuiet = http.requestsInFlight == 0
-                if (isQuiet && clock() - start >= OUT_OF_ROTATION) break
-                delay(QUIET_CHECK)
-            }
-        }
+        runBlocking { EntryStop(http, settings.grace, clock).awaitEnd() }
         clientServer.stop().join()
         readinessServer.stop().join()
         core.close()
@@ -132,13 +123,6 @@
         /** Longer than any idle time that a configuration promises to clients. */
         val IDLE_TIMEOUT = 60.seconds
 
-        /** The platform asks each second, and sends no new connection after two misses. */
-        val OUT_OF_ROTATION = 3.seconds
-        val QUIET_CHECK = 20.milliseconds
-
-        /** Left for the end of the process itself. */
-        val RESERVE = 900.milliseconds
-
         /** The largest body that operators announce, and a little more. */
         const val MAXIMUM_BODY_BYTES = 34L shl 20
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -0,0 +1,189 @@
+package org.zinniahoist.gateway.entry
+
+import arrow.core.Either
+import arrow.core.right
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.zinniahoist.gateway.GatewayProcess
+import org.zinniahoist.gateway.core.StubDialect
+import org.zinniahoist.gateway.dialect.ClientCall
+import org.zinniahoist.gateway.dialect.ListPage
+import org.zinniahoist.gateway.dialect.OutboundPaths
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.link.DocumentCompression
+import org.zinniahoist.gateway.link.PeerLinks
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.routes.ConfigurationFault
+import org.zinniahoist.policy.routes.Route
+import org.zinniahoist.policy.routes.RouteKind
+import org.zinniahoist.policy.routes.ServiceConfiguration
+import org.zinniahoist.policy.routes.ServiceEntry
+import org.zinniahoist.policy.routes.ServiceShare
+import org.zinniahoist.settings.GatewayRole
+import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.wire.HeartbeatContent
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkHandler
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.LinkServer
+import org.zinniahoist.wire.Message
+import org.zinniahoist.wire.ServiceMessage
+import org.zinniahoist.wire.ServiceReply
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.time.Duration.ofMillis
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A whole entry on the loopback, with a core that knows one configuration and an upstream that takes [work]. */
+internal class EntryFixture(
+    grace: Duration,
+    private val work: Duration,
+) : AutoCloseable {
+    private val clock = { Moment(System.nanoTime()) }
+    private val upstream = startUpstream()
+    private val core = LinkServer(Endpoint(HOST, 0), hello(), Core(), ::HeartbeatContent, clock, PeerLinks.LIMITS)
+    private val readiness = Endpoint(HOST, freePort())
+
+    /** Identifiers of the requests that have reached the upstream. */
+    val begun: MutableSet<String> = ConcurrentHashMap.newKeySet()
+
+    /** Where the entry listens for clients. */
+    val clients = Endpoint(HOST, freePort())
+    val entry: GatewayProcess =
+        EntryProcess(settings(grace, linkPort = runBlocking { core.start() }.port), Dialect(), clock)
+
+    /** Starts the entry and waits until it takes requests. */
+    fun start() {
+        entry.start()
+        val client = java.net.http.HttpClient.newHttpClient()
+        val question = java.net.http.HttpRequest.newBuilder(java.net.URI("http://$readiness/")).build()
+        val bodies = java.net.http.HttpResponse.BodyHandlers.discarding()
+        runBlocking {
+            withTimeout(READY_WITHIN) {
+                while (client.send(question, bodies).statusCode() != HttpStatus.OK.code()) delay(20.milliseconds)
+            }
+        }
+    }
+
+    override fun close() {
+        runBlocking { core.stop("the test has ended") }
+        upstream.stop().join()
+    }
+
+    private fun startUpstream(): Server {
+        val server = Server.builder().http(0).requestTimeoutMillis(0).serviceUnder("/") { _, request ->
+            val identifier = request.headers().get(UpstreamFixture.Names.requestIdentifier)
+            if (identifier == null) {
+                HttpResponse.of("one page")
+            } else {
+                begun += identifier
+                val head = ResponseHeaders.builder(HttpStatus.OK)
+                    .set(UpstreamFixture.Names.requestIdentifier, identifier)
+                    .set(UpstreamFixture.Names.answerStamp, "s")
+                    .build()
+                HttpResponse.delayed(HttpResponse.of(head), ofMillis(work.inWholeMilliseconds))
+            }
+        }.build()
+        server.start().join()
+        return server
+    }
+
+    private fun settings(grace: Duration, linkPort: Int) = GatewaySettings(
+        machine = "entry-1",
+        role = GatewayRole.ENTRY,
+        failureDomain = "a",
+        region = "r",
+        address = HOST,
+        linkPort = linkPort,
+        dataFolder = null,
+        clients = clients,
+        readiness = readiness,
+        operators = null,
+        seeds = listOf(Endpoint(HOST, 1)),
+        firstStart = false,
+        toleratedLosses = 1,
+        listEndpoint = Endpoint(HOST, upstream.activeLocalPort()),
+        grace = grace,
+        orderLease = 1.seconds,
+    )
+
+    private fun hello() = LinkMessage.Hello(
+        protocolVersion = LinkLimits.PROTOCOL_VERSION,
+        instance = InstanceName("core-1"),
+        incarnation = Incarnation(1),
+        failureDomain = FailureDomain("a", Region("r")),
+        roles = setOf(Role.CONTROL),
+    )
+
+    private inner class Dialect : PlatformDialect by StubDialect() {
+        override val paths = object : OutboundPaths {
+            override val report = StubDialect.REPORT
+            override val order = StubDialect.ORDER
+
+            override fun list(token: String?): String = "/list"
+        }
+
+        override fun clientCall(method: String, path: String, query: String?): ClientCall? = null
+
+        override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> =
+            ServiceConfiguration(REVISION, listOf(ROUTE), listOf(ServiceEntry(SERVICE, 100)), limits = null).right()
+
+        override fun listPage(body: ByteArray): ListPage {
+            val endpoint = Endpoint(HOST, upstream.activeLocalPort())
+            val listed = ListedUpstream(UpstreamIdentity("u1"), SERVICE, endpoint, "a", slots = 64, isLeaving = false)
+            return ListPage(listOf(listed), unreadable = 0, nextToken = null)
+        }
+    }
+
+    private class Core : LinkHandler {
+        override fun onOpen(link: LinkConnection) = Unit
+
+        override suspend fun onMessage(link: LinkConnection, message: Message) {
+            if (message !is ServiceMessage.Call) return
+            val document = ServiceReply.Document(REVISION, DocumentCompression.compress("routes".encodeToByteArray()))
+            link.send(ServiceMessage.Reply(message.identifier, document))
+        }
+
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause) = Unit
+    }
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        val REVISION = Revision(1)
+        val SERVICE = ServiceName("cases")
+        val READY_WITHIN = 10.seconds
+        val ROUTE = Route(
+            name = "r",
+            host = HOST,
+            pathPrefix = "/s/",
+            kind = RouteKind.REPEATABLE,
+            timeout = 10.seconds,
+            target = 10.seconds,
+            priority = 0,
+            shares = listOf(ServiceShare(SERVICE, 1)),
+            maximumAttempts = 1,
+        )
+
+        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    }
+}
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ReturnAdvice.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ReturnAdvice.kt
@@ -14,6 +14,9 @@
 
     /** No upstream takes the request. */
     NO_UPSTREAM,
+
+    /** This process is about to end; others serve. */
+    STOPPING,
 }
 
 /** Decides when a client that is refused is asked to come back. */
@@ -31,7 +34,11 @@
 
     /** Returns the time after which the client may come back. [remaining] is the time for which it waits at all. */
     public fun after(cause: RefusalCause, remaining: Duration, random: Random): Duration {
-        val wanted = if (cause == RefusalCause.NO_UPSTREAM) SOON else ELECTION
+        val wanted = when (cause) {
+            RefusalCause.NO_CONFIGURATION, RefusalCause.NO_LEADER -> ELECTION
+            RefusalCause.NO_UPSTREAM -> SOON
+            RefusalCause.STOPPING -> SHORTEST
+        }
         val heeded = minOf(wanted, remaining * HEEDED_SHARE)
         return (heeded * (1 - SPREAD * random.nextDouble())).coerceAtLeast(SHORTEST)
     }
