Engine: propose no results of a job that has ended

Callers see slower answers: results that were not listed when their job ended are proposed for as long as the group refuses them, and take room in the log.

Cause: the end of a job took its items from the dispatcher, not its results from the recorder.

The recorder hands the results back at the end. Completed ones are kept in memory, like the texts of unfinished items, since groups that were not complete come again in a later job: results of ended jobs are read there.

Evidence: in BatchEngineTest, 'proposes no result of a job that was ended' failed on the code before (29 further proposals in 3 s), and so did 'uses the unlisted result of an ended job for the next one' (the item ran twice).

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -164,8 +164,10 @@
         begun.remove(job)
         val cancelled = dispatcher.cancelJob(job.value)
         planner.keep(cancelled.texts)
+        val unlisted = recorder.forget(job)
+        planner.keepResults(unlisted)
         carryOut(cancelled.aborts)
-        logger.info { "event=job-ended job=$job unfinished=${cancelled.texts.size}" }
+        logger.info { "event=job-ended job=$job unfinished=${cancelled.texts.size} unlisted=${unlisted.size}" }
     }
 
     private fun carryOut(actions: List<DispatchAction>) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -32,6 +32,7 @@
     private val random: Random,
 ) {
     private val keptTexts = LinkedHashMap<RequestIdentifier, ItemText>()
+    private val keptResults = LinkedHashMap<RequestIdentifier, ItemResult>()
 
     /** Returns the plan for [items] of [record] on [route]. */
     fun plan(
@@ -52,6 +53,12 @@
         while (keptTexts.size > KEPT_TEXTS) keptTexts.remove(keptTexts.keys.first())
     }
 
+    /** Keeps [results] that were not listed when their job ended, for a later job that holds the items again. */
+    fun keepResults(results: List<ItemResult>) {
+        results.filter { it.isCompleted }.forEach { keptResults[it.item] = it }
+        while (keptResults.size > KEPT_TEXTS) keptResults.remove(keptResults.keys.first())
+    }
+
     /** The text of [item] is needed no more. */
     fun forget(item: RequestIdentifier) {
         keptTexts.remove(item)
@@ -60,11 +67,12 @@
     /** Groups that were not complete come again; what an earlier job made of them may be used. */
     private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, ItemResult> {
         val wanted = items.mapTo(HashSet()) { it.identifier }
-        return machine.jobs
+        val listed = machine.jobs
             .filter { it.job.identifier != job.identifier }
             .flatMap { it.results }
             .filter { it.isCompleted && it.item in wanted }
             .associateBy { it.item }
+        return keptResults.filterKeys { it in wanted } + listed
     }
 
     private fun termsOf(job: BatchJob, route: Route): DraftTerms? = job.step?.let {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
@@ -38,6 +38,13 @@
         pending.values.filter { now >= it.nextAttempt }.forEach { propose(it, now) }
     }
 
+    /** Forgets the results of [job], which has ended, and returns those that were not listed as far as is known. */
+    fun forget(job: JobIdentifier): List<ItemResult> {
+        val unlisted = pending.values.filter { it.job == job }
+        unlisted.forEach { pending.remove(it.key) }
+        return unlisted.map { it.result }
+    }
+
     /** Forgets all results, because another leader makes them now. */
     fun clear(): Unit = pending.clear()
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -6,8 +6,11 @@
 import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.wire.ServiceReply
 import strikt.api.expectThat
+import strikt.assertions.hasSize
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -89,6 +92,34 @@
         expectThat(fixture.eventually(limit = 1.seconds) { fixture.asked.isNotEmpty() }).isFalse()
     }
 
+    /** Guards against results of an ended job that are proposed for as long as the group refuses them. */
+    @Test
+    fun `proposes no result of a job that was ended`() {
+        fixture.log = ResultLog { _, _, onReply -> onReply(ServiceReply.Unavailable("no room")) }
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
+        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        val before = fixture.proposed.size
+        fixture.pass(3.seconds)
+        expectThat(fixture.proposed.size).isEqualTo(before)
+    }
+
+    /** Guards against a second run of an item whose result was made but not listed when its job ended. */
+    @Test
+    fun `uses the unlisted result of an ended job for the next one`() {
+        fixture.log = ResultLog { _, _, _ -> }
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.activate()
+        expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
+        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        fixture.submit("k", EngineFixture.item("a"))
+        expectThat(fixture.eventually { fixture.proposed.size == 2 }).isTrue()
+        expectThat(fixture.asked).hasSize(1)
+    }
+
     /** Guards against one item that can't be sent and takes all later jobs of an activation with it. */
     @Test
     fun `begins the other jobs when an item can not be sent`() {
