Recorder: propose a refused result ever more seldom

Callers see slower answers while the group takes no commands: each result that waits is proposed ten times a second, and one that is always refused, as by a log that takes no more, is proposed so until its job expires.

The pause of 100 ms now doubles up to 2 s with each refusal of the same result.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
@@ -64,7 +64,7 @@
             "event=result-not-recorded job=${entry.job} item=${entry.result.item} reply=${reply::class.simpleName}"
         }
         // An unknown job has expired, as it was in the log before its results.
-        if (reply is ServiceReply.NotFound) pending.remove(entry.key) else entry.nextAttempt = proposedAt + RETRY
+        if (reply is ServiceReply.NotFound) pending.remove(entry.key) else entry.retryLater(proposedAt)
     }
 
     private class Pending(
@@ -73,11 +73,20 @@
         var nextAttempt: Moment,
     ) {
         val key = ItemKey(job.value, result.item)
+        private var pause = FIRST_RETRY
+
+        fun retryLater(proposedAt: Moment) {
+            nextAttempt = proposedAt + pause
+            pause = minOf(pause * 2, LONGEST_RETRY)
+        }
     }
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        val RETRY = 100.milliseconds
+        val FIRST_RETRY = 100.milliseconds
+
+        /** A group that refuses for long gets few proposals, and one that takes commands again gets them soon. */
+        val LONGEST_RETRY = 2.seconds
 
         /** A leader that has neither listed a result nor refused it by then is asked again. */
         val ANSWER_PATIENCE = 5.seconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ResultRecorderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ResultRecorderTest.kt
@@ -10,14 +10,17 @@
 import org.zinniahoist.wire.ServiceReply
 import strikt.api.expectThat
 import strikt.assertions.contains
+import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isFalse
+import strikt.assertions.isLessThan
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 internal class ResultRecorderTest {
     private val replies = ArrayList<(ServiceReply) -> Unit>()
+    private var answered = 0
     private val metrics = GatewayMetrics()
     private val recorder = ResultRecorder({ _, _, onReply -> replies += onReply }, metrics)
 
@@ -67,6 +70,43 @@
         expectThat(KEY in recorder).isFalse()
     }
 
+    /** Guards against a result that is always refused and is proposed ten times a second for good. */
+    @Test
+    fun `proposes a refused result ever more seldom`() {
+        record()
+        val end = Moment.ZERO + 20.seconds
+        var now = Moment.ZERO
+        while (now < end) {
+            while (answered < replies.size) replies[answered++](ServiceReply.Unavailable("the command is too large"))
+            now += 50.milliseconds
+            recorder.tick(now)
+        }
+        expectThat(replies.size).isLessThan(20)
+        expectThat(KEY in recorder).isTrue()
+    }
+
+    /** Guards against a result that waits for seconds after the group takes commands again. */
+    @Test
+    fun `proposes a refused result again within two seconds`() {
+        record()
+        repeat(20) {
+            replies.last()(ServiceReply.Unavailable("no room"))
+            recorder.tick(Moment.ZERO + 2.seconds * (it + 1))
+            expectThat(replies).hasSize(it + 2)
+        }
+    }
+
+    /** Guards against bytes in the log for results that no reader of the job waits for. */
+    @Test
+    fun `hands back the results of a job that has ended`() {
+        record()
+        expectThat(recorder.forget(JOB).map { it.item }).containsExactly(ITEM)
+        replies.last()(ServiceReply.NotLeader(null))
+        recorder.tick(Moment.ZERO + 10.seconds)
+        expectThat(replies).hasSize(1)
+        expectThat(KEY in recorder).isFalse()
+    }
+
     private companion object {
         val JOB = JobIdentifier("j")
         val ITEM = RequestIdentifier("a")
