Storage: make durable what is read at the opening of a folder

Callers can lose what was acknowledged: a job, a result or a configuration.

Cause: when only the process ends between an append and its sync, the bytes are still in the file at the next start. The replica read them, reported them as held, and the leader counted it for the majority, but they were never synced: a loss of power could still take them. Only a torn file was synced.

The last segment is now synced at each opening; earlier ones were synced before the next was begun.

Evidence: 'keeps what was read at the opening when power is lost' and 'keeps what was read after a failure when the system forgot the bytes of a failed sync' in GroupStorageTest failed on the code before: entry 2 was read, and missing after the loss of power. The simulation of the group takes power with each end of a process, so it could not find this.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
@@ -32,7 +32,7 @@
     /** Writes and syncs [changes]. When this returns a right, all of them are durable. */
     public fun write(changes: List<ReplicaAction.Persist>): Either<StorageError, Unit> = guarded {
         changes.lastOrNull { it.hardState != null }?.hardState?.let { hardState ->
-            files.replace(FolderContent.VOTE, FrameCodec.encode(HardState.serializer(), hardState))
+            writeVote(files, hardState)
         }
         var entries = ArrayList<LogEntry>()
         for (change in changes) {
@@ -119,19 +119,27 @@
         return all.isNotEmpty()
     }
 
-    private fun repair(content: FolderContent) {
+    private fun repair(content: FolderContent, isAfterFailure: Boolean) {
         files.list().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { files.delete(it) }
-        if (content.tornBytes > 0) {
-            val last = content.segments.last()
-            files.truncate(last.name, last.validBytes)
-            files.sync(last.name)
-        }
+        content.segments.lastOrNull()?.let { if (isAfterFailure) rewrite(it) else makeDurable(it) }
+        if (isAfterFailure && content.identifier != null) writeVote(files, content.hardState)
         if (content.entries.isNotEmpty() && content.snapshot != null && content.entriesAfterSnapshot.isEmpty()) {
             deleteAllSegments()
         }
         files.syncFolder()
     }
 
+    /** A process that was killed may have left an append without its sync, which is read and acknowledged from now on. */
+    private fun makeDurable(last: Segment.Content) {
+        if (last.totalBytes > last.validBytes) files.truncate(last.name, last.validBytes)
+        files.sync(last.name)
+    }
+
+    /** The system may have forgotten the bytes of a failed sync, and another sync would not write them. */
+    private fun rewrite(last: Segment.Content) {
+        files.replace(last.name, files.read(last.name).copyOf(last.validBytes.toInt()))
+    }
+
     private class OpenSegment(
         val name: String,
         var bytes: Long,
@@ -150,25 +158,42 @@
 
         /** Frames are encoded in memory, and a length field has 4 bytes. */
         private const val MAXIMUM_FRAME_BYTES = 16L shl 20
+        private const val PROBE = "probe$TEMPORARY_SUFFIX"
+
+        /** Room for some results. */
+        private const val PROBE_BYTES = 64 shl 10
 
         /**
-         * Opens the folder [files]. A torn end of the log is cut off. An empty folder gets [freshIdentifier], and its
-         * replica has no vote until the leader of a group has added and promoted it.
+         * Opens the folder [files]. A torn end of the log is cut off, and all that was read is durable. An empty folder
+         * gets [freshIdentifier], and its replica has no vote until the leader of a group has added and promoted it.
+         *
+         * @param isAfterFailure true if a write has failed since the process started. The folder is then read only if it
+         * takes writes, and what may not be durable is written anew.
          */
         public fun open(
             files: FileStore,
             freshIdentifier: ReplicaIdentifier,
             segmentBytes: Long = DEFAULT_SEGMENT_BYTES,
-        ): Either<StorageError, OpenedStorage> = FolderContent.read(files).flatMap { content ->
-            try {
-                val identifier = content.identifier ?: freshIdentifier
-                val storage = GroupStorage(files, segmentBytes, content)
-                storage.repair(content)
-                if (content.identifier == null) writeIdentity(files, identifier, content.hardState)
-                OpenedStorage(storage, content.recovered(identifier)).right()
-            } catch (exception: IOException) {
-                StorageError.Failed(files.location, exception).left()
-            }
+            isAfterFailure: Boolean = false,
+        ): Either<StorageError, OpenedStorage> {
+            if (isAfterFailure) probe(files).onLeft { return it.left() }
+            return FolderContent.read(files).flatMap { open(files, it, freshIdentifier, segmentBytes, isAfterFailure) }
+        }
+
+        private fun open(
+            files: FileStore,
+            content: FolderContent,
+            freshIdentifier: ReplicaIdentifier,
+            segmentBytes: Long,
+            isAfterFailure: Boolean,
+        ): Either<StorageError, OpenedStorage> = try {
+            val identifier = content.identifier ?: freshIdentifier
+            val storage = GroupStorage(files, segmentBytes, content)
+            storage.repair(content, isAfterFailure)
+            if (content.identifier == null) writeIdentity(files, identifier, content.hardState)
+            OpenedStorage(storage, content.recovered(identifier)).right()
+        } catch (exception: IOException) {
+            StorageError.Failed(files.location, exception).left()
         }
 
         /**
@@ -193,9 +218,23 @@
             StorageError.Failed(files.location, exception).left()
         }
 
+        /** Writes a file and deletes it, which costs less than to read the folder and to find then that no write succeeds. */
+        private fun probe(files: FileStore): Either<StorageError, Unit> = try {
+            if (PROBE in files.list()) files.delete(PROBE)
+            files.append(PROBE, ByteArray(PROBE_BYTES))
+            files.sync(PROBE)
+            files.delete(PROBE)
+            Unit.right()
+        } catch (exception: IOException) {
+            StorageError.Failed(files.location, exception).left()
+        }
+
+        private fun writeVote(files: FileStore, hardState: HardState) =
+            files.replace(FolderContent.VOTE, FrameCodec.encode(HardState.serializer(), hardState))
+
         /** The identity is written last: a folder without it has never acknowledged anything. */
         internal fun writeIdentity(files: FileStore, identifier: ReplicaIdentifier, hardState: HardState) {
-            files.replace(FolderContent.VOTE, FrameCodec.encode(HardState.serializer(), hardState))
+            writeVote(files, hardState)
             val identity = FrameCodec.encode(StoredIdentity.serializer(), StoredIdentity(identifier))
             files.replace(FolderContent.IDENTITY, identity)
         }
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupStorageTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/GroupStorageTest.kt
@@ -28,6 +28,8 @@
     private fun persist(vararg entries: LogEntry, snapshot: Snapshot? = null, term: Long = 1) =
         ReplicaAction.Persist(1, HardState(term, identifier), snapshot, entries.firstOrNull()?.index, entries.toList())
 
+    private fun append(entry: LogEntry) = ReplicaAction.Persist(2, null, null, null, listOf(entry))
+
     private fun snapshot(index: Long, term: Long) = Snapshot(index, term, index, Configuration.EMPTY, ByteArray(10))
 
     private fun GroupStorage.write(vararg changes: ReplicaAction.Persist): Either<StorageError, Unit> =
@@ -35,6 +37,11 @@
 
     private fun recovered(): List<String> = open().recovered.entries.map { it.toString() }
 
+    private fun reopened(): List<String> =
+        GroupStorage.open(files, identifier, segmentBytes = 1_000, isAfterFailure = true)
+            .getOrElse { error(it.message) }
+            .recovered.entries.map { it.toString() }
+
     @Nested
     inner class `The end of the log` {
         /** Guards against a crash in the middle of a write that keeps a replica from starting. */
@@ -129,6 +136,49 @@
             expectThat(recovered()).isEqualTo(listOf("1@1"))
         }
 
+        /** Guards against an entry that a restarted process acknowledges and a loss of power then takes. */
+        @Test
+        fun `keeps what was read at the opening when power is lost`() {
+            for (seed in 1..50) {
+                val storage = open().storage
+                storage.write(persist(entry(1)))
+                files.failSyncs = true
+                storage.write(append(entry(2)))
+                files.failSyncs = false
+                val read = recovered()
+                files.crash(Random(seed))
+                expectThat(recovered()).isEqualTo(read)
+                files.list().forEach { files.delete(it) }
+            }
+        }
+
+        /** Guards against an entry that is taken for durable because the next sync after a failed one succeeds. */
+        @Test
+        fun `keeps what was read after a failure when the system forgot the bytes of a failed sync`() {
+            files.forgetsAfterFailedSync = true
+            for (seed in 1..50) {
+                val storage = open().storage
+                storage.write(persist(entry(1)))
+                files.failSyncs = true
+                storage.write(append(entry(2)))
+                files.failSyncs = false
+                val read = reopened()
+                files.crash(Random(seed))
+                expectThat(recovered()).isEqualTo(read)
+                files.list().forEach { files.delete(it) }
+            }
+        }
+
+        /** Guards against a replica that is opened, read and ended again for as long as its disk refuses writes. */
+        @Test
+        fun `is not opened after a failure while it refuses writes`() {
+            open().storage.write(persist(entry(1)))
+            files.freeBytes = 0
+            expectThat(GroupStorage.open(files, identifier, isAfterFailure = true)).isLeft().isA<StorageError.Failed>()
+            files.freeBytes = Long.MAX_VALUE
+            expectThat(reopened()).isEqualTo(listOf("1@1"))
+        }
+
         /** Guards against a vote under the identity of a replica whose promises were lost with its disk. */
         @Test
         fun `and is emptied gives the replica a fresh identity`() {
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/MemoryFileStore.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/MemoryFileStore.kt
@@ -9,6 +9,9 @@
         var size = 0
         var synced = 0
 
+        /** Bytes from here on were part of a failed sync and are not written any more, or null. */
+        var forgottenFrom: Int? = null
+
         fun append(added: ByteArray) {
             if (size + added.size > bytes.size) bytes = bytes.copyOf((size + added.size) * 2)
             added.copyInto(bytes, size)
@@ -23,6 +26,9 @@
     /** Syncs of files fail while this is true. */
     var failSyncs = false
 
+    /** After a failed sync of a file, later ones report success without writing the bytes that it covered. */
+    var forgetsAfterFailedSync = false
+
     /** Bytes that can still be appended before the disk is full. */
     var freeBytes = Long.MAX_VALUE
 
@@ -43,8 +49,12 @@
     }
 
     override fun sync(name: String) {
-        if (failSyncs) throw IOException("sync failed")
-        content(name).let { it.synced = it.size }
+        val file = content(name)
+        if (failSyncs) {
+            if (forgetsAfterFailedSync) file.forgottenFrom = file.forgottenFrom ?: file.synced
+            throw IOException("sync failed")
+        }
+        file.synced = file.forgottenFrom ?: file.size
     }
 
     override fun truncate(name: String, size: Long) {
