Retirement: complete only once the group without the replica is committed

Callers see: a machine that an operator was told to have emptied is taken away with its disk, and one further loss right after leaves no majority: all jobs and the configuration are gone.

Cause: whether a replica has left was read from the latest configuration of the log, committed or not. Between the entry that leaves the replica out and its commitment the group can still fall back to the joint configuration before it, in which the retired replica votes: of its old voters one is then gone for good, and the loss of another, which is to be borne, stops the group.

The status of a replica now says whether its configuration is committed, and a retirement is complete only then.

Evidence: RetirementsTest, with four replicas of which none gets the entry, found the retirement complete on the code before. It passes now, with GroupHostTest (one run each).

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -220,6 +220,7 @@
         commitIndex = replica.commitIndex,
         lastIndex = replica.lastIndex,
         configuration = replica.configuration,
+        isConfigurationCommitted = replica.isConfigurationCommitted,
         failure = failure,
     )
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -65,6 +65,9 @@
     /** The latest configuration in the log, committed or not. */
     public val configuration: Configuration get() = context.log.configuration
 
+    /** True once [configuration] is known to be committed. */
+    public val isConfigurationCommitted: Boolean get() = context.log.configurationIndex <= context.commitIndex
+
     /** Handles [events] at the time [now] as one batch and returns the actions to carry out. */
     public fun step(now: Moment, events: List<ReplicaEvent>): List<ReplicaAction> {
         context.now = now
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Retirements.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/Retirements.kt
@@ -22,10 +22,13 @@
         return remaining.size >= targetVoters
     }
 
-    /** Returns true once no replica on [instance] is left in the group. */
+    /** Returns true once no replica on [instance] is left in the group, and the group can't fall back to one. */
     fun isComplete(instance: InstanceName): Boolean {
-        val configuration = host.status.configuration
-        return !configuration.isJoint && configuration.members.none { it.address.instance == instance }
+        val status = host.status
+        val configuration = status.configuration
+        return status.isConfigurationCommitted &&
+            !configuration.isJoint &&
+            configuration.members.none { it.address.instance == instance }
     }
 
     /** Takes the next step, if this replica leads. */
