Core: show what holds the memory, as gauges and as one line a second

No line says what filled the heap: the log, the results, frames that wait on a link, messages that wait for the replica, or texts of running items.

The replica, the links, the state and the engine now count what they hold. The line has the least and the most of the heap since the line before, as the heap between two collections says little.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -44,6 +44,7 @@
     private val storage = opened.storage
     private val replica = Replica(instance, options, opened.recovered, random, clock.now())
     private val queue = LinkedBlockingQueue<ReplicaEvent>()
+    private val waitingMessageBytes = AtomicLong()
     private val requests = ConcurrentHashMap<Long, Request>()
     private val nextRequest = AtomicLong(1)
     private val unsynced = ArrayList<ReplicaAction.Persist>()
@@ -60,6 +61,9 @@
     public var status: GroupStatus = statusNow(failure = null)
         private set
 
+    /** Events that wait for the thread of the replica now. */
+    public val waiting: WaitingEvents get() = WaitingEvents(queue.size, waitingMessageBytes.get())
+
     private val worker: Thread
 
     init {
@@ -98,7 +102,9 @@
 
     /** Hands over a message that arrived from another replica. */
     public fun receive(message: ReplicaMessage) {
-        if (!stopped) queue += ReplicaEvent.Receive(message)
+        if (stopped) return
+        waitingMessageBytes.addAndGet(message.payloadBytes)
+        queue += ReplicaEvent.Receive(message)
     }
 
     /** Stops the replica; requests without an answer fail. */
@@ -131,6 +137,7 @@
                 }
                 step(events)
                 if (stopped) return
+                waitingMessageBytes.addAndGet(-messageBytesOf(events))
                 status = statusNow(failure = null)
             }
         } catch (failure: Throwable) {
@@ -149,6 +156,9 @@
 
     private fun waitNanoseconds(nextTick: Moment): Long = (nextTick - clock.now()).inWholeNanoseconds.coerceAtLeast(0)
 
+    private fun messageBytesOf(events: List<ReplicaEvent>): Long =
+        events.sumOf { if (it is ReplicaEvent.Receive) it.message.payloadBytes else 0 }
+
     private fun step(events: List<ReplicaEvent>) {
         var next = events
         while (next.isNotEmpty() && !stopped) {
@@ -221,6 +231,7 @@
         lastIndex = replica.lastIndex,
         configuration = replica.configuration,
         failure = failure,
+        log = replica.logSize,
     )
 
     private class Request(val query: ByteArray?) {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/LogEntry.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/LogEntry.kt
@@ -21,6 +21,9 @@
     @CborLabel(4) @ByteString public val command: ByteArray? = null,
     @CborLabel(5) public val configuration: Configuration? = null,
 ) {
+    /** Bytes of the command; 0 without one. */
+    internal val commandBytes: Long get() = command?.size?.toLong() ?: 0
+
     override fun toString(): String = "$index@$term"
 }
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -49,7 +49,7 @@
     /** Records that [entries] were sent and may be followed by others. */
     fun onSent(entries: List<LogEntry>) {
         nextIndex += entries.size
-        val append = InflightAppend(nextIndex - 1, entries.sumOf { it.command?.size?.toLong() ?: 0 })
+        val append = InflightAppend(nextIndex - 1, entries.sumOf { it.commandBytes })
         inflight += append
         inflightBytes += append.bytes
     }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -62,6 +62,10 @@
     /** Index of the last entry of the log. */
     public val lastIndex: Long get() = context.log.lastIndex
 
+    /** What of the log is in memory. */
+    public val logSize: LogSize
+        get() = context.log.let { LogSize(it.size.toLong(), it.commandBytes, it.snapshotBytes, context.sentBytes) }
+
     /** The latest configuration in the log, committed or not. */
     public val configuration: Configuration get() = context.log.configuration
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaContext.kt
@@ -19,6 +19,10 @@
 
     /** Instances whose replicas get no place in the group. */
     var excluded: Set<InstanceName> = emptySet()
+
+    /** Bytes of commands and snapshots that were handed out for other replicas. */
+    var sentBytes: Long = 0
+        private set
     private var hardState = recovered.hardState
     private var hardStateChanged = false
 
@@ -39,8 +43,11 @@
     }
 
     /** Sends at once; only for messages that promise nothing about durable state of this replica. */
-    fun send(to: ReplicaAddress, content: ReplicaMessageContent) =
-        outbox.emit(ReplicaAction.Send(to.instance, ReplicaMessage(address, to.identifier, term, content)))
+    fun send(to: ReplicaAddress, content: ReplicaMessageContent) {
+        val message = ReplicaMessage(address, to.identifier, term, content)
+        sentBytes += message.payloadBytes
+        outbox.emit(ReplicaAction.Send(to.instance, message))
+    }
 
     /** Sends once all changes up to the end of this step are synced. */
     fun sendAfterSync(to: ReplicaAddress, content: ReplicaMessageContent) {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
@@ -13,6 +13,10 @@
     private var baseTerm: Long = snapshot?.term ?: 0
     private var baseTime: Long = snapshot?.timeMilliseconds ?: 0
     private val entries = ArrayList(recovered.entries)
+
+    /** Bytes of the commands in memory. */
+    var commandBytes: Long = entries.sumOf { it.commandBytes }
+        private set
     private val configurations = ArrayDeque<Pair<Long, Configuration>>()
 
     /** Last index up to which the entries are synced on this replica. */
@@ -27,7 +31,9 @@
         resetConfigurations()
     }
 
+    val size: Int get() = entries.size
     val lastIndex: Long get() = baseIndex + entries.size
+    val snapshotBytes: Long get() = snapshot?.data?.size?.toLong() ?: 0
     val lastTerm: Long get() = entries.lastOrNull()?.term ?: baseTerm
     val lastTime: Long get() = entries.lastOrNull()?.timeMilliseconds ?: baseTime
     val configuration: Configuration get() = configurations.last().second
@@ -54,11 +60,12 @@
     fun append(entry: LogEntry) {
         check(entry.index == lastIndex + 1) { "entry $entry does not follow index $lastIndex" }
         entries += entry
+        commandBytes += entry.commandBytes
         entry.configuration?.let { configurations += entry.index to it }
     }
 
     fun truncateFrom(index: Long) {
-        entries.subList((index - baseIndex - 1).toInt(), entries.size).clear()
+        drop((index - baseIndex - 1).toInt(), entries.size)
         while (configurations.last().first >= index) configurations.removeLast()
         if (index <= handedOutIndex) {
             truncateFrom = minOf(index, truncateFrom ?: index)
@@ -73,7 +80,7 @@
         var end = start
         var bytes = 0L
         while (end < entries.size) {
-            bytes += (entries[end].command?.size ?: 0) + ENTRY_OVERHEAD_BYTES
+            bytes += entries[end].commandBytes + ENTRY_OVERHEAD_BYTES
             if (end > start && bytes > maximumBytes) break
             end++
         }
@@ -88,7 +95,7 @@
         if (newBase <= baseIndex) return
         val last = this[newBase]
         val configurationAtBase = configurationAt(newBase)
-        entries.subList(0, (newBase - baseIndex).toInt()).clear()
+        drop(0, (newBase - baseIndex).toInt())
         baseIndex = newBase
         baseTerm = last.term
         baseTime = last.timeMilliseconds
@@ -104,6 +111,7 @@
         unsavedSnapshot = received
         entries.clear()
         entries += kept
+        commandBytes = kept.sumOf { it.commandBytes }
         baseIndex = received.index
         baseTerm = received.term
         baseTime = received.timeMilliseconds
@@ -136,6 +144,12 @@
         }
     }
 
+    private fun drop(from: Int, until: Int) {
+        val dropped = entries.subList(from, until)
+        commandBytes -= dropped.sumOf { it.commandBytes }
+        dropped.clear()
+    }
+
     private fun limitPersisted(index: Long) {
         persistedIndex = minOf(persistedIndex, index)
         pending.forEach { it.lastIndex = minOf(it.lastIndex, index) }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaMessage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaMessage.kt
@@ -18,7 +18,15 @@
     public val to: ReplicaIdentifier?,
     public val term: Long,
     public val content: ReplicaMessageContent,
-)
+) {
+    /** Bytes of the commands or of the part of a snapshot that the message carries. */
+    internal val payloadBytes: Long
+        get() = when (content) {
+            is ReplicaMessageContent.AppendRequest -> content.entries.sumOf { it.commandBytes }
+            is ReplicaMessageContent.SnapshotRequest -> content.snapshot.data.size.toLong()
+            else -> 0
+        }
+}
 
 /** Content of a [ReplicaMessage]. */
 @Serializable
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -62,6 +62,15 @@
 
     fun relist(entries: List<ListedUpstream>) = board.relist(entries)
 
+    /** Runs in progress. */
+    val runningItems: Int get() = dispatcher.runningItems
+
+    /** Results that are not listed yet. */
+    val unlistedResults: Int get() = recorder.size
+
+    /** Characters of the texts of unfinished items. */
+    val textCharacters: Long get() = dispatcher.textCharacters
+
     /** Begins to run what is open. Nothing of an earlier term goes on. */
     fun activate() {
         deactivate()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -19,7 +19,9 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.Message
 import org.zinniahoist.wire.ServiceMessage
+import org.zinniahoist.wire.UnsentFrames
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. */
 internal class CoreLinks(
@@ -43,6 +45,14 @@
     /** The replica that messages are for; set before links are accepted. */
     lateinit var host: GroupHost
 
+    private val answering = AtomicInteger()
+
+    /** Calls of other processes without an answer that is queued. */
+    val callsInProgress: Int get() = answering.get()
+
+    /** What waits for sending on each link. */
+    val unsent: List<UnsentFrames> get() = (peers.links + inbound).map { it.unsent }
+
     /** Returns the replica on the machine with the operator's name [machine], or null. */
     fun replicaOn(machine: String): InstanceName? = machines[machine]
 
@@ -89,13 +99,20 @@
         when (message) {
             is ControlMessage.ReplicaTraffic -> receive(message)
             is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
-            is ServiceMessage.Call -> scope.launch {
-                link.send(ServiceMessage.Reply(message.identifier, jobs.answer(message.call)))
-            }
+            is ServiceMessage.Call -> scope.launch { answer(link, message) }
             else -> Unit
         }
     }
 
+    private suspend fun answer(link: LinkConnection, call: ServiceMessage.Call) {
+        answering.incrementAndGet()
+        try {
+            link.send(ServiceMessage.Reply(call.identifier, jobs.answer(call.call)))
+        } finally {
+            answering.decrementAndGet()
+        }
+    }
+
     private fun receive(traffic: ControlMessage.ReplicaTraffic) {
         try {
             host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -62,6 +62,7 @@
         roles = setOf(Role.CONTROL),
     )
     private val metrics = GatewayMetrics()
+    private val memory = MemoryLog(metrics)
     private val links = CoreLinks(settings.machine, hello, jobs, scope, clock)
     private val duties =
         LeaderDuties(settings, dialect, machine, jobs, links, scope, thread, clock, metrics) { host }
@@ -126,6 +127,21 @@
         followMembers(status)
         duties.tick(status)
         retirements.tick(retiring(), clock())
+        memory.tick(clock()) { sizeNow(status) }
+    }
+
+    private fun sizeNow(status: GroupStatus): CoreSize {
+        val kept = machine.jobs
+        return CoreSize(
+            log = status.log,
+            jobs = kept.size,
+            resultBytes = kept.sumOf { it.resultBytes },
+            bodyBytes = kept.sumOf { it.bodyBytes },
+            waiting = host.waiting,
+            unsent = links.unsent,
+            calls = links.callsInProgress,
+            runs = duties.runSize,
+        )
     }
 
     private fun retiring() = machine.retirements.values.map { it.instance }.toSet()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -58,6 +58,9 @@
     private val loader = WeightLoader(engine.board)
     private val orders = WeightOrders(dialect, calls, loader, scope, thread::post, clock, ::confirmLeadership, metrics)
 
+    /** What the runs of items hold in memory. Read on the engine's thread. */
+    val runSize: RunSize get() = RunSize(engine.runningItems, engine.unlistedResults, engine.textCharacters)
+
     /** Starts to read the platform's list while this replica leads. */
     fun start() {
         scope.launch { readList() }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ResultRecorder.kt
@@ -23,6 +23,9 @@
 ) {
     private val pending = LinkedHashMap<ItemKey, Pending>()
 
+    /** Results on their way. */
+    val size: Int get() = pending.size
+
     /** True while the result of [key] is on its way. */
     operator fun contains(key: ItemKey): Boolean = key in pending
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -45,6 +45,9 @@
         }
     }
 
+    /** The open links. */
+    public val links: Collection<LinkConnection> get() = open.values
+
     /** Returns the open link to [instance], or null. */
     public fun link(instance: InstanceName): LinkConnection? = open[instance]
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -25,6 +25,9 @@
     /** Runs in progress. */
     public val runningItems: Int get() = table.runningItems.size
 
+    /** Characters of the texts of all items that are not finished. */
+    public val textCharacters: Long get() = table.all.sumOf { state -> state.text.events.sumOf { it.length.toLong() } }
+
     /** True while [key] waits or runs. */
     public operator fun contains(key: ItemKey): Boolean = table.item(key) != null
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -42,6 +42,12 @@
     public var isEnded: Boolean = false
         private set
 
+    /** Bytes of the results. */
+    public val resultBytes: Long get() = results.sumOf { it.output.length.toLong() }
+
+    /** Bytes of the bodies of all items. */
+    public val bodyBytes: Long by lazy { job.items.sumOf { it.body.size.toLong() } }
+
     /** Results by position. */
     public val results: List<ItemResult> get() = listed
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -10,6 +10,9 @@
     /** Sequence number of the last heartbeat received from the other side. */
     public val lastHeartbeatReceived: Long
 
+    /** What waits here for sending. */
+    public val unsent: UnsentFrames get() = UnsentFrames.NONE
+
     /** Returns when the heartbeat with [sequence] was sent on this link, or null if that is not known any more. */
     public fun heartbeatSentAt(sequence: Long): Moment?
 
@@ -23,6 +26,21 @@
     public fun close(reason: String)
 }
 
+/**
+ * Frames that wait for sending on a link, the one that is being written included.
+ *
+ * @property bytes their bytes before compression.
+ */
+public data class UnsentFrames(
+    public val frames: Int,
+    public val bytes: Long,
+) {
+    public companion object {
+        /** Nothing waits. */
+        public val NONE: UnsentFrames = UnsentFrames(0, 0)
+    }
+}
+
 /** Receives the events of links. Calls for one link come in order; calls for different links are concurrent. */
 public interface LinkHandler {
     /** The link is open and both sides have said hello. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -6,7 +6,6 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
@@ -32,7 +31,7 @@
     private val end: LinkEnd,
 ) : LinkConnection {
     private val limits = end.limits
-    private val queue = Channel<ByteArray>(limits.sendQueueFrames)
+    private val queue = SendQueue(limits.sendQueueFrames)
 
     // Heartbeats have their own place, as a full queue must not delay the draining flag.
     private val heartbeats = Channel<ByteArray>(Channel.CONFLATED)
@@ -56,16 +55,13 @@
     override var lastHeartbeatReceived: Long = -1
         private set
 
+    override val unsent: UnsentFrames get() = queue.unsent
+
     override fun heartbeatSentAt(sequence: Long): Moment? = sent[sequence]
 
-    override suspend fun send(message: Message): Boolean = try {
-        queue.send(encode(message))
-        true
-    } catch (_: ClosedSendChannelException) {
-        false
-    }
+    override suspend fun send(message: Message): Boolean = queue.send(encode(message))
 
-    override fun offer(message: Message): Boolean = queue.trySend(encode(message)).isSuccess
+    override fun offer(message: Message): Boolean = queue.offer(encode(message))
 
     override fun close(reason: String) {
         if (goodbye == null) goodbye = reason
@@ -149,6 +145,7 @@
         while (true) {
             val frame = queued() ?: afterYield() ?: nextFrame() ?: break
             frames.write(frame)
+            queue.onWritten()
         }
         withTimeoutOrNull(limits.closeTimeout) {
             frames.write(encode(LinkMessage.Goodbye(goodbye ?: "closed")))
@@ -157,7 +154,7 @@
         return LinkCloseCause.Local
     }
 
-    private fun queued(): ByteArray? = heartbeats.tryReceive().getOrNull() ?: queue.tryReceive().getOrNull()
+    private fun queued(): ByteArray? = heartbeats.tryReceive().getOrNull() ?: queue.tryTake()
 
     /** Lets senders that are ready queue their frames, so that one flush takes several. */
     private suspend fun afterYield(): ByteArray? {
@@ -169,7 +166,7 @@
         frames.flush()
         return select {
             heartbeats.onReceive { it }
-            queue.onReceiveCatching { it.getOrNull() }
+            queue.onTake { it.getOrNull().also(queue::onTaken) }
         }
     }
 
--- /dev/null
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -0,0 +1,74 @@
+package org.zinniahoist.wire
+
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ChannelResult
+import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.selects.SelectClause1
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+/** Frames that wait for the writer of a link, and their bytes. Any thread puts frames in; the writer takes them. */
+internal class SendQueue(maximumFrames: Int) {
+    private val channel = Channel<ByteArray>(maximumFrames)
+    private val frames = AtomicInteger()
+    private val bytes = AtomicLong()
+
+    /** Size of the frame that was taken and is not written yet; used by the writer only. */
+    private var taken = NOTHING
+
+    val unsent: UnsentFrames get() = UnsentFrames(frames.get(), bytes.get())
+
+    /** Suspends while the queue is full. Returns false if it is closed. */
+    suspend fun send(frame: ByteArray): Boolean {
+        count(frame)
+        return try {
+            channel.send(frame)
+            true
+        } catch (_: ClosedSendChannelException) {
+            uncount(frame.size)
+            false
+        }
+    }
+
+    /** Returns false if the queue is full or closed. */
+    fun offer(frame: ByteArray): Boolean {
+        count(frame)
+        val isQueued = channel.trySend(frame).isSuccess
+        if (!isQueued) uncount(frame.size)
+        return isQueued
+    }
+
+    fun tryTake(): ByteArray? = channel.tryReceive().getOrNull()?.also(::onTaken)
+
+    /** Gives the next frame, which is to be noted by [onTaken], or the end of the queue. */
+    val onTake: SelectClause1<ChannelResult<ByteArray>> get() = channel.onReceiveCatching
+
+    fun onTaken(frame: ByteArray?) {
+        if (frame != null) taken = frame.size
+    }
+
+    /** The frame that was taken last, if any, is written. */
+    fun onWritten() {
+        if (taken == NOTHING) return
+        uncount(taken)
+        taken = NOTHING
+    }
+
+    fun close() {
+        channel.close()
+    }
+
+    private fun count(frame: ByteArray) {
+        frames.incrementAndGet()
+        bytes.addAndGet(frame.size.toLong())
+    }
+
+    private fun uncount(size: Int) {
+        frames.decrementAndGet()
+        bytes.addAndGet(-size.toLong())
+    }
+
+    private companion object {
+        const val NOTHING = -1
+    }
+}
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/SendQueueTest.kt
@@ -0,0 +1,33 @@
+package org.zinniahoist.wire
+
+import org.junit.jupiter.api.Test
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+
+internal class SendQueueTest {
+    private val queue = SendQueue(maximumFrames = 2)
+
+    /** Guards against bytes that wait on a link and that no gauge shows. */
+    @Test
+    fun `counts a frame until it is written`() {
+        queue.offer(ByteArray(100))
+        queue.offer(ByteArray(10))
+        queue.tryTake()
+        expectThat(queue.unsent).isEqualTo(UnsentFrames(2, 110))
+        queue.onWritten()
+        expectThat(queue.unsent).isEqualTo(UnsentFrames(1, 10))
+    }
+
+    /** Guards against counts that grow by frames which were never queued. */
+    @Test
+    fun `does not count a refused frame`() {
+        repeat(2) { expectThat(queue.offer(ByteArray(10))).isTrue() }
+        expectThat(queue.offer(ByteArray(10))).isFalse()
+        expectThat(queue.unsent).isEqualTo(UnsentFrames(2, 20))
+        queue.close()
+        expectThat(queue.offer(ByteArray(10))).isFalse()
+        expectThat(queue.unsent).isEqualTo(UnsentFrames(2, 20))
+    }
+}
