Repeat no entries to a replica that has not answered with each heartbeat

Cause: while the leader looks for the position at which a member's log matches its own, it sent up to a mebibyte of entries again with each heartbeat, ten times a second, whether or not the member had answered. A machine that lost its disk comes back with a new identifier; the former one stays a member until it is replaced, its messages arrive at the new replica, and that one drops them. A member whose process is slow gets the same copies. They wait encoded in the queue of the link, beyond the bound on bytes in flight.

The entries at a position are now sent once. A heartbeat is an append without entries; its answer moves the position or ends the search, and what was lost follows.

Evidence: 'heartbeats repeat no entries to a replica that has not answered' failed before with 26,214,400 bytes in 50 heartbeats; the bound is one batch of 1 MiB.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -28,7 +28,7 @@
     private val inflight = ArrayDeque<InflightAppend>()
     private var inflightBytes = 0L
 
-    /** True if nothing may be sent in the modes [Mode.PROBE] and [Mode.SNAPSHOT] until an answer or a heartbeat. */
+    /** True in the mode [Mode.PROBE] if the entries at [nextIndex] were sent, until an answer moves that position. */
     var waiting = false
     var snapshot: Snapshot? = null
     var snapshotOffset = 0L
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
@@ -10,9 +10,11 @@
     private val log = context.log
     private val options = context.options
 
-    /** Sends a message that the peer answers, whether or not there are new entries. */
+    /**
+     * Sends a message that the peer answers, whether or not there are new entries. It repeats no entries: its answer
+     * tells which of them were lost, and a peer that never answers gets them once.
+     */
     fun heartbeat(peer: Progress, round: Long) {
-        peer.waiting = false
         when {
             peer.mode == Progress.Mode.SNAPSHOT -> sendChunk(peer, round)
             peer.nextIndex <= log.baseIndex -> startSnapshot(peer, round)
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -128,6 +128,35 @@
             expectThat(sent.commandBytesTo(2)).isLessThanOrEqualTo(1L shl 20)
         }
 
+        /**
+         * Guards against a leader that runs out of memory because a member never answers, as the former replica of an
+         * emptied machine: its link takes what is meant for it, and nobody does.
+         */
+        @Test
+        fun `heartbeats repeat no entries to a replica that has not answered`() {
+            val replica = leader()
+            replica.receive(1, AppendResponse(true, 2, 2, 0))
+            repeat(8) { replica.propose(it.toLong(), ByteArray(512 * 1_024)) }
+            val sent = replica.heartbeats(50)
+            expectThat(sent.commandBytesTo(2)).isLessThanOrEqualTo(1L shl 20)
+        }
+
+        /** Guards against entries that never arrive because those that were sent first were lost. */
+        @Test
+        fun `a heartbeat finds a replica that lost the first entries`() {
+            val replica = leader()
+            replica.receive(1, AppendResponse(true, 2, 2, 0))
+            replica.propose(1, ByteArray(1))
+            expectThat(replica.heartbeats(1).entriesTo(2)).isEmpty()
+            expectThat(replica.receive(2, AppendResponse(true, 1, 1, 0)).lastIndexTo(2)).isEqualTo(3)
+        }
+
+        /** Steps through [count] heartbeats, each of which the first peer answers. */
+        private fun Replica.heartbeats(count: Int): List<ReplicaAction> = List(count) {
+            val actions = step(ReplicaEvent.Tick, 100.milliseconds)
+            actions + receive(1, AppendResponse(true, 2, 2, 0))
+        }.flatten()
+
         private fun Replica.propose(request: Long, command: ByteArray) =
             step(ReplicaEvent.Propose(request, 1_000, command))
 
