--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -33,6 +33,9 @@
     var snapshot: Snapshot? = null
     var snapshotOffset = 0L
 
+    /** Time at which a part of [snapshot] was sent last. */
+    var chunkSentAt: Moment = now
+
     private var catchUpTarget = nextIndex
     private var catchUpStart: Moment = now
     var caughtUp = false
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replication.kt
@@ -12,16 +12,30 @@
 
     /**
      * Sends a message that the peer answers, whether or not there are new entries. It repeats no entries: its answer
-     * tells which of them were lost, and a peer that never answers gets them once.
+     * tells which of them were lost, and a peer that never answers gets them once. A part of a snapshot, whose loss no
+     * answer tells, is repeated after an election timeout.
      */
     fun heartbeat(peer: Progress, round: Long) {
         when {
-            peer.mode == Progress.Mode.SNAPSHOT -> sendChunk(peer, round)
+            peer.mode == Progress.Mode.SNAPSHOT -> if (isChunkOverdue(
+                    peer,
+                )
+            ) {
+                sendChunk(peer, round)
+            } else {
+                ask(peer, round)
+            }
             peer.nextIndex <= log.baseIndex -> startSnapshot(peer, round)
             else -> sendAppend(peer, emptyList(), round)
         }
     }
 
+    private fun isChunkOverdue(peer: Progress): Boolean = context.now - peer.chunkSentAt >= options.electionTimeout
+
+    /** Asks a peer in the mode [Progress.Mode.SNAPSHOT] for a sign of life. */
+    private fun ask(peer: Progress, round: Long) =
+        context.send(peer.address, AppendRequest(log.lastIndex, log.lastTerm, emptyList(), context.commitIndex, round))
+
     /**
      * Asks the peer to confirm the leadership for [round]. Unlike a heartbeat this repeats no entries and no part of a
      * snapshot: rounds follow the reads, of which there may be hundreds a second.
@@ -81,6 +95,7 @@
 
     private fun sendChunk(peer: Progress, round: Long) {
         val whole = checkNotNull(peer.snapshot)
+        peer.chunkSentAt = context.now
         val start = peer.snapshotOffset.toInt()
         val end = minOf(whole.data.size.toLong(), peer.snapshotOffset + options.maximumBatchBytes).toInt()
         val data = whole.data.copyOfRange(start, end)
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -33,8 +33,8 @@
     private var now = Moment.ZERO
     private val first = LogEntry(1, 1, 1_000, command = null, configuration)
 
-    private fun replica(vararg entries: LogEntry): Replica {
-        val recovered = RecoveredState(addresses[0].identifier, HardState(1, null), null, entries.toList())
+    private fun replica(vararg entries: LogEntry, snapshot: Snapshot? = null): Replica {
+        val recovered = RecoveredState(addresses[0].identifier, HardState(1, null), snapshot, entries.toList())
         return Replica(addresses[0].instance, ReplicaOptions(), recovered, Random(1), now)
     }
 
@@ -50,8 +50,7 @@
 
     private fun List<ReplicaAction>.sequence() = filterIsInstance<ReplicaAction.Persist>().last().sequence
 
-    private fun leader(): Replica {
-        val replica = replica(first)
+    private fun leader(replica: Replica = replica(first)): Replica {
         replica.step(ReplicaEvent.Tick, 2.seconds)
         val campaign = replica.receive(1, PreVoteResponse(2, granted = true))
         replica.step(ReplicaEvent.Persisted(campaign.sequence()))
@@ -151,6 +150,32 @@
             expectThat(replica.receive(2, AppendResponse(true, 1, 1, 0)).lastIndexTo(2)).isEqualTo(3)
         }
 
+        /** Guards against a leader that sends the same part of a snapshot ten times a second to a slow replica. */
+        @Test
+        fun `heartbeats repeat no part of a snapshot that is on its way`() {
+            val snapshot = Snapshot(1, 1, 1_000, configuration, ByteArray(3 shl 20))
+            val replica = leader(replica(snapshot = snapshot))
+            val start = replica.receive(2, AppendResponse(false, 1, 0, 0))
+            expectThat(start.snapshotBytesTo(2)).isEqualTo(1L shl 20)
+            expectThat(replica.heartbeats(5).snapshotBytesTo(2)).isEqualTo(0)
+        }
+
+        /** Guards against a snapshot that never arrives because a part of it was lost. */
+        @Test
+        fun `a part of a snapshot without an answer is sent again after an election timeout`() {
+            val snapshot = Snapshot(1, 1, 1_000, configuration, ByteArray(3 shl 20))
+            val replica = leader(replica(snapshot = snapshot))
+            replica.receive(2, AppendResponse(false, 1, 0, 0))
+            expectThat(replica.heartbeats(7).snapshotBytesTo(2)).isEqualTo(1L shl 20)
+        }
+
+        private fun List<ReplicaAction>.snapshotBytesTo(peer: Int): Long = filterIsInstance<ReplicaAction.Send>()
+            .filter { it.message.to == addresses[peer].identifier }
+            .sumOf { it.message.payloadOfSnapshot() }
+
+        private fun ReplicaMessage.payloadOfSnapshot(): Long =
+            (content as? SnapshotRequest)?.snapshot?.data?.size?.toLong() ?: 0
+
         /** Steps through [count] heartbeats, each of which the first peer answers. */
         private fun Replica.heartbeats(count: Int): List<ReplicaAction> = List(count) {
             val actions = step(ReplicaEvent.Tick, 100.milliseconds)
