Compress a result once and keep it in the bytes of its command

Callers saw a leader that ran out of memory after a final fault.

A result's output is now compressed where the result is made. The state holds the command's bytes instead of a decoded copy, and reads the whole result from them when a page or another job needs it.

That the log and the state share the bytes is checked by identity, which has no form on the code before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -87,7 +87,8 @@
     private fun page(record: JobRecord, after: Int): ByteArray {
         val page = ArrayList<ItemResult>()
         var bytes = 0
-        for (result in record.results.drop(after)) {
+        for (listed in record.results.drop(after)) {
+            val result = listed.whole()
             bytes += dialect.sizeOf(result)
             if (page.isNotEmpty() && bytes > PAGE_BYTES) break
             page += result
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -12,6 +12,7 @@
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ListedResult
 import org.zinniahoist.state.service.ServiceStateMachine
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -43,7 +44,7 @@
         val terms = termsOf(record.job, route)
         val earlier = earlierResults(record.job, items).filterValues { ItemText(versions = it.versions).fits(terms) }
         val work = items.filter { it.identifier !in earlier }.map { work(record, route, it, now) }
-        return JobPlan(work, items.mapNotNull { earlier[it.identifier] })
+        return JobPlan(work, items.mapNotNull { earlier[it.identifier]?.whole() })
     }
 
     /** Keeps the [texts] of unfinished items for a later job that holds them again. */
@@ -58,7 +59,7 @@
     }
 
     /** Groups that were not complete come again; what an earlier job made of them may be used. */
-    private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, ItemResult> {
+    private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, ListedResult> {
         val wanted = items.mapTo(HashSet()) { it.identifier }
         return machine.jobs
             .filter { it.job.identifier != job.identifier }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -8,6 +8,7 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.StateCodec
 
 /** Identifier of a batch job, chosen by its trainer. */
 @JvmInline
@@ -61,13 +62,45 @@
     public val value: String,
 )
 
-/** Outcome of one item at its position in the list of results. */
+/**
+ * Outcome of one item at its position in the list of results.
+ *
+ * @property packedOutput data of all events in order, compressed once where the result is made: it crosses failure
+ * domains and is kept several times.
+ * @property versions all versions that generated an event, in order of their first use.
+ */
 @Serializable
-public data class ItemResult(
+public class ItemResult private constructor(
     public val item: RequestIdentifier,
     public val isCompleted: Boolean,
+    @ByteString private val packedOutput: ByteArray,
+    public val versions: List<WeightVersion>,
+) {
+    public constructor(
+        item: RequestIdentifier,
+        isCompleted: Boolean,
+        output: String,
+        versions: List<WeightVersion> = emptyList(),
+    ) : this(item, isCompleted, TextCompression.pack(output), versions)
+
     /** Data of all events in order. */
-    public val output: String,
-    /** All versions that generated an event of [output], in order of their first use. */
-    public val versions: List<WeightVersion> = emptyList(),
-)
+    public val output: String by lazy(LazyThreadSafetyMode.PUBLICATION) { TextCompression.expand(packedOutput) }
+}
+
+/**
+ * A result that is listed, without its output: this stays in the bytes of the command that listed it, which the log
+ * holds as well.
+ */
+public class ListedResult internal constructor(
+    result: ItemResult,
+    internal val command: ByteArray,
+    private val position: Int,
+) {
+    public val item: RequestIdentifier = result.item
+    public val isCompleted: Boolean = result.isCompleted
+    public val versions: List<WeightVersion> = result.versions
+
+    /** Reads the whole result. */
+    public fun whole(): ItemResult =
+        (StateCodec.decode<ServiceCommand>(command) as ServiceCommand.RecordResults).results[position]
+}
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.StateCodec
 
 /** A stored configuration. */
 @Serializable
@@ -23,33 +24,32 @@
  *
  * @property submittedMilliseconds wall time of the leader that accepted the job.
  */
-@Serializable
 public class JobRecord(
     public val job: BatchJob,
     public val submittedMilliseconds: Long,
 ) {
     @Volatile
-    private var listed: List<ItemResult> = emptyList()
+    private var listed: List<ListedResult> = emptyList()
 
     /** The first item with each identifier. */
     private val itemsByIdentifier by lazy { job.items.asReversed().associateBy { it.identifier } }
 
     /** Items of [listed]; used by the thread of the replica only. */
-    private val listedItems by lazy { listed.mapTo(HashSet()) { it.item } }
+    private val listedItems = HashSet<RequestIdentifier>()
 
     /** True once the trainer has ended the job. */
     @Volatile
     public var isEnded: Boolean = false
         private set
 
-    /** Bytes of the results. */
-    public val resultBytes: Long get() = results.sumOf { it.output.length.toLong() }
+    /** Bytes of the results as they are kept. */
+    public val resultBytes: Long get() = commands().sumOf { it.size.toLong() }
 
     /** Bytes of the bodies of all items. */
     public val bodyBytes: Long by lazy { job.items.sumOf { it.body.size.toLong() } }
 
     /** Results by position. */
-    public val results: List<ItemResult> get() = listed
+    public val results: List<ListedResult> get() = listed
 
     /** Items without a result. */
     public fun openItems(): List<BatchItem> {
@@ -60,11 +60,19 @@
     /** Returns the item with [identifier], or null. */
     public fun item(identifier: RequestIdentifier): BatchItem? = itemsByIdentifier[identifier]
 
-    internal fun list(results: List<ItemResult>) {
-        val fresh = results.filter { it.item in itemsByIdentifier && listedItems.add(it.item) }
+    /** Lists the [results] of [command], which keeps their outputs. */
+    internal fun list(results: List<ItemResult>, command: ByteArray) {
+        val fresh = results.withIndex()
+            .filter { (_, result) -> result.item in itemsByIdentifier && listedItems.add(result.item) }
+            .map { (position, result) -> ListedResult(result, command, position) }
         if (fresh.isNotEmpty()) listed = listed + fresh
     }
 
+    /** The commands that listed the results, in order, each once. */
+    internal fun commands(): List<ByteArray> = buildList {
+        for (result in results) if (lastOrNull() !== result.command) add(result.command)
+    }
+
     internal fun end() {
         isEnded = true
     }
@@ -77,11 +85,47 @@
     public val instance: InstanceName,
 )
 
+/**
+ * A [JobRecord] in the form of a snapshot.
+ *
+ * @property commands the commands that listed its results.
+ */
+@Serializable
+internal class JobSnapshot(
+    val job: BatchJob,
+    val submittedMilliseconds: Long,
+    val isEnded: Boolean,
+    val commands: List<ListingCommand>,
+) {
+    fun restore(): JobRecord {
+        val record = JobRecord(job, submittedMilliseconds)
+        for (listing in commands) {
+            val command = StateCodec.decode<ServiceCommand>(listing.command)
+            record.list((command as ServiceCommand.RecordResults).results, listing.command)
+        }
+        if (isEnded) record.end()
+        return record
+    }
+
+    companion object {
+        fun of(record: JobRecord): JobSnapshot = JobSnapshot(
+            record.job,
+            record.submittedMilliseconds,
+            record.isEnded,
+            record.commands().map(::ListingCommand),
+        )
+    }
+}
+
+/** An encoded [ServiceCommand.RecordResults]. */
+@Serializable
+internal class ListingCommand(@ByteString val command: ByteArray)
+
 /** The whole state in the form of a snapshot. */
 @Serializable
 internal class ServiceSnapshot(
     val configuration: StoredConfiguration?,
     val versions: Map<ModelName, WeightVersion>,
-    val jobs: List<JobRecord>,
+    val jobs: List<JobSnapshot>,
     val retirements: List<Retirement>,
 )
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -54,15 +54,16 @@
 
     override fun apply(index: Long, timeMilliseconds: Long, command: ByteArray): ByteArray {
         expire(timeMilliseconds)
-        return StateCodec.encode(carryOut(index, timeMilliseconds, StateCodec.decode<ServiceCommand>(command)))
+        return StateCodec.encode(carryOut(index, timeMilliseconds, command))
     }
 
-    private fun carryOut(index: Long, timeMilliseconds: Long, command: ServiceCommand): ServiceAnswer {
+    private fun carryOut(index: Long, timeMilliseconds: Long, bytes: ByteArray): ServiceAnswer {
+        val command = StateCodec.decode<ServiceCommand>(bytes)
         when (command) {
             is ServiceCommand.AcceptConfiguration -> accept(StoredConfiguration(command.revision, command.document))
             is ServiceCommand.NameVersion -> name(command)
             is ServiceCommand.SubmitJob -> submit(command.job, timeMilliseconds)
-            is ServiceCommand.RecordResults -> return change(command.job) { it.list(command.results) }
+            is ServiceCommand.RecordResults -> return change(command.job) { it.list(command.results, bytes) }
             is ServiceCommand.EndJob -> return change(command.job) { it.end() }
             is ServiceCommand.RetireInstance -> retiring[command.node] = Retirement(command.node, command.instance)
             is ServiceCommand.DrawFence -> return ServiceAnswer.Fence(FencingToken(index))
@@ -106,20 +107,21 @@
     override fun query(timeMilliseconds: Long, query: ByteArray): ByteArray = ByteArray(0)
 
     override fun snapshot(): ByteArray = StateCodec.encode(
-        ServiceSnapshot(configuration, namedVersions.toMap(), jobs.toList(), retiring.values.toList()),
+        ServiceSnapshot(configuration, namedVersions.toMap(), jobs.map(JobSnapshot::of), retiring.values.toList()),
     )
 
     override fun restore(snapshot: ByteArray) {
         val state = StateCodec.decode<ServiceSnapshot>(snapshot)
         // A reader on another thread must find a job that is in both states at any time.
-        jobsByIdentifier.keys.retainAll(state.jobs.map { it.job.identifier }.toSet())
-        state.jobs.forEach { jobsByIdentifier[it.job.identifier] = it }
+        val restored = state.jobs.map { it.restore() }
+        jobsByIdentifier.keys.retainAll(restored.map { it.job.identifier }.toSet())
+        restored.forEach { jobsByIdentifier[it.job.identifier] = it }
         namedVersions.putAll(state.versions)
         state.retirements.forEach { retiring[it.node] = it }
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
         state.versions.forEach { (model, version) -> listener.onVersion(model, version) }
-        state.jobs.forEach(listener::onJob)
+        restored.forEach(listener::onJob)
     }
 
     public companion object {
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -63,7 +63,7 @@
         record("a", "third")
         record("x", "of no item")
         val job = machine.job(JobIdentifier("j"))
-        expectThat(job?.results?.map { it.output }).isEqualTo(listOf("first", "third"))
+        expectThat(job?.results?.map { it.whole().output }).isEqualTo(listOf("first", "third"))
         expectThat(job!!.openItems()).hasSize(0)
     }
 
@@ -98,7 +98,7 @@
         apply(ServiceCommand.RetireInstance("store-1", InstanceName("10.0.0.1:1")))
         val restored = ServiceStateMachine(Silent).also { it.restore(machine.snapshot()) }
         expectThat(restored.configuration?.revision).isEqualTo(Revision(7))
-        expectThat(restored.job(JobIdentifier("j"))!!.results.map { it.output }).containsExactly("text")
+        expectThat(restored.job(JobIdentifier("j"))!!.results.map { it.whole().output }).containsExactly("text")
         expectThat(restored.job(JobIdentifier("j"))!!.isEnded).isTrue()
         expectThat(restored.versions[ModelName("m")]).isEqualTo(WeightVersion(3))
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
@@ -112,7 +112,11 @@
         machine.restore(machine.snapshot())
         record("a", "second")
         record("b", "third")
-        expectThat(machine.job(JobIdentifier("j"))!!.results.map { it.output }).containsExactly("first", "third")
+        expectThat(
+            machine.job(JobIdentifier("j"))!!.results.map {
+                it.whole().output
+            },
+        ).containsExactly("first", "third")
     }
 
     /** Guards against a 404 for an accepted job that is read while a snapshot is restored. */
@@ -126,6 +130,44 @@
         expectThat(misses).isEqualTo(0)
     }
 
+    /** Guards against a leader that runs out of memory because the log and the state hold each result as plain text. */
+    @Test
+    fun `holds the text of a result compressed`() {
+        submit("j")
+        val command = recordCommand(LONG_TEXT)
+        machine.apply(++index, 0, command)
+        expectThat(command.size).isLessThan(LONG_TEXT.length / 3)
+        expectThat(machine.snapshot().size).isLessThan(LONG_TEXT.length / 3)
+    }
+
+    /** Guards against a leader that holds each result twice, in the log and in the state. */
+    @Test
+    fun `keeps the text of a result in the bytes of its command only`() {
+        submit("j")
+        val command = recordCommand(LONG_TEXT)
+        machine.apply(++index, 0, command)
+        val listed = machine.job(JobIdentifier("j"))!!.results.single()
+        expectThat(listed.command === command).isTrue()
+        expectThat(listed.whole().output).isEqualTo(LONG_TEXT)
+    }
+
+    private fun recordCommand(text: String): ByteArray {
+        val result = ItemResult(RequestIdentifier("a"), true, text)
+        return StateCodec.encode<ServiceCommand>(ServiceCommand.RecordResults(JobIdentifier("j"), listOf(result)))
+    }
+
+    /** Guards against results that are lost or doubled when a command lists several, some of them listed before. */
+    @Test
+    fun `keeps the results of commands with several after a snapshot`() {
+        submit("j")
+        record("a", "first")
+        val results = listOf("a", "b").map { ItemResult(RequestIdentifier(it), true, "of $it") }
+        apply(ServiceCommand.RecordResults(JobIdentifier("j"), results))
+        val restored = ServiceStateMachine(Silent).also { it.restore(machine.snapshot()) }
+        expectThat(restored.job(JobIdentifier("j"))!!.results.map { it.whole().output })
+            .containsExactly("first", "of b")
+    }
+
     /** Guards against a state that grows for ever. */
     @Test
     fun `forgets jobs after their retention`() {
@@ -134,4 +176,8 @@
         expectThat(machine.job(JobIdentifier("j"))).isNull()
         expectThat(machine.jobs).hasSize(1)
     }
+
+    private companion object {
+        val LONG_TEXT = (1..600).joinToString("\n") { "event $it of a text" }
+    }
 }
