Core: answer a replica on the link on which it asked

Cause: a replica sends on links that it dials itself, to its seeds and to the members that its log names. An emptied replica has an empty log. When the leader is none of its seeds, it gets the leader's appends and has no link for its answers, so the leader never learns where its log ends. It stays empty for good, and the group goes on without these voters. The leader takes each new spare for absent after 2.5 s, and adds another one. To each of them it sent what it held, up to a mebibyte, ten times a second.

An answer now goes back on the link of the one that asked, if there is no other. Both ends of a link take messages of replicas.

Leader store-a-3, no seed. b-1 and c-1 were emptied at 41.8 s; at 51.8 s both, and the spares a-4, b-2 and c-2, still held 0 entries, while the leader had sent 238 MB of commands for a log of 40 MB. The members changed five times between 45.5 and 50.7 s. 'a replica answers one that it does not know' failed before: the answer never arrived.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -23,7 +23,10 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. */
+/**
+ * Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. A replica that it
+ * doesn't dial, because its log does not name it yet, is answered on the link on which it asked.
+ */
 internal class CoreLinks(
     private val machineName: String,
     hello: LinkMessage.Hello,
@@ -59,8 +62,10 @@
     /** Replicas that can be reached, this one included. */
     val reachable: Set<InstanceName> get() = peers.connected + self
 
+    /** Sends [message] if there is a link; it is encoded only then. */
     fun send(instance: InstanceName, message: ReplicaMessage) {
-        peers.offer(instance, ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
+        val link = peers.link(instance) ?: inbound.find { it.peer.instance == instance } ?: return
+        link.offer(ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
     }
 
     /** Keeps links to the other [replicas] and tells everybody about [members]. */
@@ -132,7 +137,9 @@
             link.offer(ServiceMessage.Machine(machineName))
         }
 
-        override suspend fun onMessage(link: LinkConnection, message: Message): Unit = Unit
+        override suspend fun onMessage(link: LinkConnection, message: Message) {
+            if (message is ControlMessage.ReplicaTraffic) receive(message)
+        }
 
         override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = Unit
     }
