Links: bound the bytes that wait for a peer, not only the frames

Appends of a mebibyte fill a heap of 253 MB long before the frames are counted out.

No frame is offered a place on a link on which 8 MiB wait. One frame of any size has its place below that, so that a large job passes. What a group sends is repeated by its protocol.

Evidence: 'the bytes that wait for a peer that does not read are bounded' failed before: all 100 frames of 1 MiB were queued; fewer than 12 are now.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -19,7 +19,7 @@
     /** Queues [message] for sending and suspends while the queue is full. Returns false if the link is closed. */
     public suspend fun send(message: Message): Boolean
 
-    /** Queues [message] if there is room. Returns false if the queue is full or the link is closed. */
+    /** Queues [message] if there is room, in frames and in bytes. Returns false if not, or if the link is closed. */
     public fun offer(message: Message): Boolean
 
     /** Closes the link after a `Goodbye` with [reason]. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -20,6 +20,8 @@
     public val closeTimeout: Duration = 1.seconds,
     /** Frames that wait for sending on one link. */
     public val sendQueueFrames: Int = 256,
+    /** Bytes that wait for sending on one link, before compression, at which no frame is offered a place any more. */
+    public val sendQueueBytes: Long = SEND_QUEUE_BYTES,
     public val maximumFrameBytes: Int = MAXIMUM_FRAME_BYTES,
     public val firstBackoff: Duration = 50.milliseconds,
     public val maximumBackoff: Duration = 2.seconds,
@@ -28,6 +30,9 @@
         /** 4 MiB hold the largest accepted request body with its envelope. */
         public const val MAXIMUM_FRAME_BYTES: Int = 4 * 1_024 * 1_024
 
+        /** Twice what a consensus group lets go to one replica without an answer. */
+        public const val SEND_QUEUE_BYTES: Long = 8L shl 20
+
         /** Version of the messages. A link between different versions is closed. */
         public const val PROTOCOL_VERSION: Int = 1
     }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -31,7 +31,7 @@
     private val end: LinkEnd,
 ) : LinkConnection {
     private val limits = end.limits
-    private val queue = SendQueue(limits.sendQueueFrames)
+    private val queue = SendQueue(limits.sendQueueFrames, limits.sendQueueBytes)
 
     // Heartbeats have their own place, as a full queue must not delay the draining flag.
     private val heartbeats = Channel<ByteArray>(Channel.CONFLATED)
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -8,7 +8,10 @@
 import java.util.concurrent.atomic.AtomicLong
 
 /** Frames that wait for the writer of a link, and their bytes. Any thread puts frames in; the writer takes them. */
-internal class SendQueue(maximumFrames: Int) {
+internal class SendQueue(
+    maximumFrames: Int,
+    private val maximumBytes: Long,
+) {
     private val channel = Channel<ByteArray>(maximumFrames)
     private val frames = AtomicInteger()
     private val bytes = AtomicLong()
@@ -30,8 +33,9 @@
         }
     }
 
-    /** Returns false if the queue is full or closed. */
+    /** Returns false if the queue is full or closed. A frame of any size has a place while less than the limit waits. */
     fun offer(frame: ByteArray): Boolean {
+        if (bytes.get() >= maximumBytes) return false
         count(frame)
         val isQueued = channel.trySend(frame).isSuccess
         if (!isQueued) uncount(frame.size)
--- a/wire/src/test/kotlin/org/zinniahoist/wire/SendQueueTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/SendQueueTest.kt
@@ -7,7 +7,7 @@
 import strikt.assertions.isTrue
 
 internal class SendQueueTest {
-    private val queue = SendQueue(maximumFrames = 2)
+    private val queue = SendQueue(maximumFrames = 2, maximumBytes = 1_000)
 
     /** Guards against bytes that wait on a link and that no gauge shows. */
     @Test
--- a/wire/src/test/kotlin/org/zinniahoist/wire/SlowReaderTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/SlowReaderTest.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.wire
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
@@ -40,11 +41,32 @@
         }
     }
 
-    private fun client(endpoint: Endpoint): LinkClient {
-        val handler = object : LinkHandler {
-            override fun onOpen(link: LinkConnection) {
-                repeat(FRAMES) { link.offer(ControlMessage.ReplicaTraffic("g", ByteArray(FRAME_BYTES))) }
+    /** Guards against a process that runs out of memory by frames for a peer that doesn't read: few, but large. */
+    @Test
+    fun `the bytes that wait for a peer that does not read are bounded`(): Unit = runBlocking {
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { silentPeer ->
+            val accepted = CompletableDeferred<Int>()
+            val client = client(Endpoint("127.0.0.1", silentPeer.localPort)) { link ->
+                val message = ControlMessage.ReplicaTraffic("g", Random(1).nextBytes(1 shl 20))
+                accepted.complete((1..100).count { link.offer(message) })
+            }
+            client.start()
+            silentPeer.accept().use { socket ->
+                socket.getOutputStream().write(frame(hello("peer")))
+                expectThat(accepted.await()).isLessThan(12)
             }
+            client.close()
+        }
+    }
+
+    private fun client(
+        endpoint: Endpoint,
+        onOpen: (LinkConnection) -> Unit = { link ->
+            repeat(FRAMES) { link.offer(ControlMessage.ReplicaTraffic("g", ByteArray(FRAME_BYTES))) }
+        },
+    ): LinkClient {
+        val handler = object : LinkHandler {
+            override fun onOpen(link: LinkConnection) = onOpen(link)
 
             override suspend fun onMessage(link: LinkConnection, message: Message) = Unit
 
