--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Progress.kt
@@ -28,11 +28,14 @@
     private val inflight = ArrayDeque<InflightAppend>()
     private var inflightBytes = 0L
 
-    /** True if nothing may be sent in the modes [Mode.PROBE] and [Mode.SNAPSHOT] until an answer or a heartbeat. */
+    /** True in the mode [Mode.PROBE] if the entries at [nextIndex] were sent, until an answer moves that position. */
     var waiting = false
     var snapshot: Snapshot? = null
     var snapshotOffset = 0L
 
+    /** Time at which a part of [snapshot] was sent last. */
+    var chunkSentAt: Moment = now
+
     private var catchUpTarget = nextIndex
     private var catchUpStart: Moment = now
     var caughtUp = false
@@ -49,7 +52,7 @@
     /** Records that [entries] were sent and may be followed by others. */
     fun onSent(entries: List<LogEntry>) {
         nextIndex += entries.size
-        val append = InflightAppend(nextIndex - 1, entries.sumOf { it.command?.size?.toLong() ?: 0 })
+        val append = InflightAppend(nextIndex - 1, entries.sumOf { it.commandBytes })
         inflight += append
         inflightBytes += append.bytes
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -19,9 +19,14 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.Message
 import org.zinniahoist.wire.ServiceMessage
+import org.zinniahoist.wire.UnsentFrames
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
 
-/** Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. */
+/**
+ * Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. A replica that it
+ * doesn't dial, because its log does not name it yet, is answered on the link on which it asked.
+ */
 internal class CoreLinks(
     private val machineName: String,
     hello: LinkMessage.Hello,
@@ -43,14 +48,24 @@
     /** The replica that messages are for; set before links are accepted. */
     lateinit var host: GroupHost
 
+    private val answering = AtomicInteger()
+
+    /** Calls of other processes without an answer that is queued. */
+    val callsInProgress: Int get() = answering.get()
+
+    /** What waits for sending on each link. */
+    val unsent: List<UnsentFrames> get() = (peers.links + inbound).map { it.unsent }
+
     /** Returns the replica on the machine with the operator's name [machine], or null. */
     fun replicaOn(machine: String): InstanceName? = machines[machine]
 
     /** Replicas that can be reached, this one included. */
     val reachable: Set<InstanceName> get() = peers.connected + self
 
+    /** Sends [message] if there is a link; it is encoded only then. */
     fun send(instance: InstanceName, message: ReplicaMessage) {
-        peers.offer(instance, ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
+        val link = peers.link(instance) ?: inbound.find { it.peer.instance == instance } ?: return
+        link.offer(ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
     }
 
     /** Keeps links to the other [replicas] and tells everybody about [members]. */
@@ -89,13 +104,20 @@
         when (message) {
             is ControlMessage.ReplicaTraffic -> receive(message)
             is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
-            is ServiceMessage.Call -> scope.launch {
-                link.send(ServiceMessage.Reply(message.identifier, jobs.answer(message.call)))
-            }
+            is ServiceMessage.Call -> scope.launch { answer(link, message) }
             else -> Unit
         }
     }
 
+    private suspend fun answer(link: LinkConnection, call: ServiceMessage.Call) {
+        answering.incrementAndGet()
+        try {
+            link.send(ServiceMessage.Reply(call.identifier, jobs.answer(call.call)))
+        } finally {
+            answering.decrementAndGet()
+        }
+    }
+
     private fun receive(traffic: ControlMessage.ReplicaTraffic) {
         try {
             host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
@@ -115,7 +137,9 @@
             link.offer(ServiceMessage.Machine(machineName))
         }
 
-        override suspend fun onMessage(link: LinkConnection, message: Message): Unit = Unit
+        override suspend fun onMessage(link: LinkConnection, message: Message) {
+            if (message is ControlMessage.ReplicaTraffic) receive(message)
+        }
 
         override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = Unit
     }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -10,19 +10,37 @@
     /** Sequence number of the last heartbeat received from the other side. */
     public val lastHeartbeatReceived: Long
 
+    /** What waits here for sending. */
+    public val unsent: UnsentFrames get() = UnsentFrames.NONE
+
     /** Returns when the heartbeat with [sequence] was sent on this link, or null if that is not known any more. */
     public fun heartbeatSentAt(sequence: Long): Moment?
 
     /** Queues [message] for sending and suspends while the queue is full. Returns false if the link is closed. */
     public suspend fun send(message: Message): Boolean
 
-    /** Queues [message] if there is room. Returns false if the queue is full or the link is closed. */
+    /** Queues [message] if there is room, in frames and in bytes. Returns false if not, or if the link is closed. */
     public fun offer(message: Message): Boolean
 
     /** Closes the link after a `Goodbye` with [reason]. */
     public fun close(reason: String)
 }
 
+/**
+ * Frames that wait for sending on a link, the one that is being written included.
+ *
+ * @property bytes their bytes before compression.
+ */
+public data class UnsentFrames(
+    public val frames: Int,
+    public val bytes: Long,
+) {
+    public companion object {
+        /** Nothing waits. */
+        public val NONE: UnsentFrames = UnsentFrames(0, 0)
+    }
+}
+
 /** Receives the events of links. Calls for one link come in order; calls for different links are concurrent. */
 public interface LinkHandler {
     /** The link is open and both sides have said hello. */
