Link: take no peer for silent before what it sent is read

A process that was held up for longer than the silence limit, by a pause or for want of a processor, breaks its links to live peers, and callers lose the work on these links.

Cause: each check compared the clock with the last frame that was read. After a pause the check comes before the reader, so time in which this process did not read counted against the peer. The second test of the class advances the clock by an hour before the server has read the peer's message; under load the reader came later than the check, the link was closed as silent, and the test waited without a bound for messages of the closed link.

Fix: PeerSilence counts the time between two checks up to half of the limit, so the reader has the other half to catch up. A peer that is really silent is noticed as before while checks come at least twice in a limit.

The test of the limit reaches the same 2,499 and 2,500 ms in two steps.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -42,12 +42,7 @@
     @Volatile
     private var goodbye: String? = null
 
-    @Volatile
-    private var lastFrame: Moment = end.clock()
-
-    /** Set while the handler works on a message: a peer is not silent while nothing is read from it. */
-    @Volatile
-    private var handling = false
+    private val silence = PeerSilence(limits.silenceLimit, end.clock())
 
     override lateinit var peer: LinkMessage.Hello
         private set
@@ -97,7 +92,7 @@
         frames.write(encode(end.hello))
         frames.flush()
         val first = frames.read()
-        lastFrame = end.clock()
+        silence.onFrame(end.clock())
         when {
             first !is LinkMessage.Hello -> "first message is no hello"
             first.protocolVersion != end.hello.protocolVersion -> refuseVersion(first)
@@ -176,14 +171,13 @@
     private suspend fun read(): LinkCloseCause {
         while (true) {
             val message = frames.read()
-            lastFrame = end.clock()
+            silence.onFrame(end.clock())
             if (message is LinkMessage.Goodbye) return LinkCloseCause.Goodbye(message.reason)
             if (message is LinkMessage.Hello) throw FrameException("second hello")
             if (message is LinkMessage.Heartbeat) lastHeartbeatReceived = message.sequence
-            handling = true
+            silence.onHandlingStart()
             end.handler.onMessage(this, message)
-            lastFrame = end.clock()
-            handling = false
+            silence.onHandlingEnd(end.clock())
         }
     }
 
@@ -201,7 +195,7 @@
             if (closingSince != null && now - closingSince >= limits.closeTimeout) {
                 closed.complete(LinkCloseCause.Local)
             }
-            if (!handling && now - lastFrame >= limits.silenceLimit) closed.complete(LinkCloseCause.Silent)
+            if (silence.check(now)) closed.complete(LinkCloseCause.Silent)
             delay(limits.checkInterval)
         }
     }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
@@ -84,6 +84,14 @@
         return (FrameCodec.decode(bytes) as DecodedFrame.Whole).message
     }
 
+    fun send(message: Message) = frame(FrameCodec.encode(message))
+
+    /** Reads messages up to the next heartbeat. Throws an [java.io.EOFException] if the connection ends before. */
+    fun readHeartbeat() {
+        var message = read()
+        while (message !is LinkMessage.Heartbeat) message = read()
+    }
+
     /** Reads until the other side closes the connection and returns the messages. */
     fun readToEnd(): List<Message> = buildList {
         while (true) add(runCatching { read() }.getOrNull() ?: break)
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
@@ -2,6 +2,7 @@
 
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Nested
@@ -19,8 +20,10 @@
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 class LinkTest {
     private val cleanup = ArrayDeque<AutoCloseable>()
@@ -171,10 +174,10 @@
             val (_, endpoint) = serve()
             val peer = peer(endpoint).apply { greet() }
             serverHandler.opened.receive()
-            while (peer.read() !is LinkMessage.Heartbeat) yield()
-            clock.advance(2_499.milliseconds)
-            // The next heartbeat shows that the link was checked at this time.
-            expectThat(peer.read()).isA<LinkMessage.Heartbeat>()
+            peer.readHeartbeat()
+            // Each heartbeat shows that the link was checked after the clock was advanced.
+            advance(peer, 1_250.milliseconds)
+            advance(peer, 1_249.milliseconds)
             expectThat(serverHandler.closed.tryReceive().getOrNull()).isNull()
             clock.advance(1.milliseconds)
             expectThat(serverHandler.closed.receive()).isEqualTo(LinkCloseCause.Silent)
@@ -182,19 +185,43 @@
 
         @Test
         fun `a peer is not silent while its message is handled`(): Unit = runBlocking {
+            val begun = CompletableDeferred<Unit>()
             val gate = CompletableDeferred<Unit>()
-            val handler = RecordingHandler { gate.await() }
+            val handler = RecordingHandler {
+                begun.complete(Unit)
+                gate.await()
+            }
             val (_, endpoint) = serve(handler)
             val peer = peer(endpoint).apply { greet() }
             handler.opened.receive()
-            repeat(2) { peer.frame(FrameCodec.encode(ControlMessage.Subscribe(Revision(it.toLong())))) }
-            while (peer.read() !is LinkMessage.Heartbeat) yield()
-            clock.advance(1.hours)
-            expectThat(peer.read()).isA<LinkMessage.Heartbeat>()
+            repeat(2) { peer.send(ControlMessage.Subscribe(Revision(it.toLong()))) }
+            begun.await()
+            peer.readHeartbeat()
+            advance(peer, 1.hours)
+            repeat(3) { advance(peer, 1_250.milliseconds) }
             gate.complete(Unit)
             expectThat(handler.next()).isEqualTo(ControlMessage.Subscribe(Revision(0)))
             expectThat(handler.next()).isEqualTo(ControlMessage.Subscribe(Revision(1)))
         }
+
+        /** Guards against links that a process breaks after a pause, before it reads what its peers have sent. */
+        @Test
+        fun `a peer is not silent because this process was held up`(): Unit = runBlocking {
+            val (_, endpoint) = serve()
+            val peer = peer(endpoint).apply { greet() }
+            serverHandler.opened.receive()
+            peer.readHeartbeat()
+            advance(peer, 1.hours)
+            peer.send(ControlMessage.Subscribe(Revision(8)))
+            val received = withTimeoutOrNull(WAIT) { serverHandler.next() }
+            expectThat(received).isEqualTo(ControlMessage.Subscribe(Revision(8)))
+            advance(peer, 1_250.milliseconds)
+        }
+
+        private fun advance(peer: RawPeer, duration: Duration) {
+            clock.advance(duration)
+            peer.readHeartbeat()
+        }
     }
 
     @Nested
@@ -221,4 +248,8 @@
             }
         }
     }
+
+    private companion object {
+        val WAIT = 10.seconds
+    }
 }
