--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -2,6 +2,7 @@
 
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.DraftTerms
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.policy.dispatch.ItemText
@@ -12,7 +13,6 @@
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobRecord
-import org.zinniahoist.state.service.ListedResult
 import org.zinniahoist.state.service.ServiceStateMachine
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
@@ -45,7 +45,7 @@
         val terms = termsOf(record.job, route)
         val earlier = earlierResults(record.job, items).filterValues { ItemText(versions = it.versions).fits(terms) }
         val work = items.filter { it.identifier !in earlier }.map { work(record, route, it, now) }
-        return JobPlan(work, items.mapNotNull { earlier[it.identifier]?.whole() })
+        return JobPlan(work, items.mapNotNull { earlier[it.identifier]?.read?.invoke() })
     }
 
     /** Keeps the [texts] of unfinished items for a later job that holds them again. */
@@ -66,14 +66,17 @@
     }
 
     /** Groups that were not complete come again; what an earlier job made of them may be used. */
-    private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, ListedResult> {
+    private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, EarlierResult> {
         val wanted = items.mapTo(HashSet()) { it.identifier }
+        val unlisted = keptResults.filterKeys { it in wanted }.mapValues { (_, result) ->
+            EarlierResult(result.versions) { result }
+        }
         val listed = machine.jobs
             .filter { it.job.identifier != job.identifier }
             .flatMap { it.results }
             .filter { it.isCompleted && it.item in wanted }
-            .associateBy { it.item }
-        return keptResults.filterKeys { it in wanted } + listed
+            .associate { it.item to EarlierResult(it.versions, it::whole) }
+        return unlisted + listed
     }
 
     private fun termsOf(job: BatchJob, route: Route): DraftTerms? = job.step?.let {
@@ -105,6 +108,12 @@
         )
     }
 
+    /** A result of an earlier job. Its text is read only if its [versions] fit. */
+    private class EarlierResult(
+        val versions: List<WeightVersion>,
+        val read: () -> ItemResult,
+    )
+
     private companion object {
         /** Several steps of unfinished samples. */
         const val KEPT_TEXTS = 2_000
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -11,21 +11,15 @@
     private val options: DispatchOptions,
 ) {
     /** Returns the upstream on which the item of [state] starts at [now], or null if it has to wait. */
-    fun choose(state: ItemState, now: Moment): UpstreamCard? = if (pausedUntil(state, now) !=
-        null
-    ) {
-        null
-    } else {
-        best(state, board.ready(state.work.service, now, able(state)), now)
+    fun choose(state: ItemState, now: Moment): UpstreamCard? {
+        if (pausedUntil(state, now) != null) return null
+        return best(state, board.ready(state.work.service, now, able(state)), now)
     }
 
     /** Returns the suspended upstream that the item of [state] may probe at [now], or null. */
-    fun chooseProbe(state: ItemState, now: Moment): UpstreamCard? = if (pausedUntil(state, now) !=
-        null
-    ) {
-        null
-    } else {
-        best(state, board.probes(state.work.service, now, able(state)), now)
+    fun chooseProbe(state: ItemState, now: Moment): UpstreamCard? {
+        if (pausedUntil(state, now) != null) return null
+        return best(state, board.probes(state.work.service, now, able(state)), now)
     }
 
     private fun able(state: ItemState): (UpstreamCard) -> Boolean = { canRun(it, state.work) }
