Link: tell senders that wait for a full queue when their link closes

Callers can see: an attempt, a control call or a reply whose link closes while the link's queue is full never ends; LinkConnection.send neither returns nor fails. RemoteControlClient and SidecarLinks.start call it without a time limit of their own, and a core keeps the reply and its coroutine.

Cause: a session closed its queue, and the close of a channel leaves the senders that wait already waiting for a receiver, which has ended.

Fix: the session cancels the queue once it takes no frames any more, which resumes these senders, and send returns false for them.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -8,7 +8,9 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
@@ -58,6 +60,10 @@
         true
     } catch (_: ClosedSendChannelException) {
         false
+    } catch (_: CancellationException) {
+        // The end of the link cancels the queue, which is no reason to cancel the sender.
+        currentCoroutineContext().ensureActive()
+        false
     }
 
     override fun offer(message: Message): Boolean = queue.trySend(encode(message)).isSuccess
@@ -80,7 +86,7 @@
         try {
             cause = serve()
         } finally {
-            queue.close()
+            queue.cancel()
             frames.close()
             logger.info { "event=link-closed peer=${peer.instance} cause=\"$cause\"" }
             end.handler.onClosed(this, cause)
@@ -116,7 +122,8 @@
             launch { watch() },
         )
         val cause = closed.await()
-        queue.close()
+        // Nobody takes frames from here on. Closing the queue alone would leave waiting senders waiting for ever.
+        queue.cancel()
         frames.close()
         loops.forEach { it.cancelAndJoin() }
         cause
