--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -76,7 +76,7 @@
         try {
             cause = serve()
         } finally {
-            queue.close()
+            queue.cancel()
             frames.close()
             logger.info { "event=link-closed peer=${peer.instance} cause=\"$cause\"" }
             end.handler.onClosed(this, cause)
@@ -112,7 +112,8 @@
             launch { watch() },
         )
         val cause = closed.await()
-        queue.close()
+        // Nobody takes frames from here on. Closing the queue alone would leave waiting senders waiting for ever.
+        queue.cancel()
         frames.close()
         loops.forEach { it.cancelAndJoin() }
         cause
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -1,8 +1,11 @@
 package org.zinniahoist.wire
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.selects.SelectClause1
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -21,7 +24,7 @@
 
     val unsent: UnsentFrames get() = UnsentFrames(frames.get(), bytes.get())
 
-    /** Suspends while the queue is full. Returns false if it is closed. */
+    /** Suspends while the queue is full. Returns false if it is closed or cancelled. */
     suspend fun send(frame: ByteArray): Boolean {
         count(frame)
         return try {
@@ -30,6 +33,11 @@
         } catch (_: ClosedSendChannelException) {
             uncount(frame.size)
             false
+        } catch (_: CancellationException) {
+            // The end of the link cancels the queue, which is no reason to cancel the sender.
+            currentCoroutineContext().ensureActive()
+            uncount(frame.size)
+            false
         }
     }
 
@@ -58,10 +66,16 @@
         taken = NOTHING
     }
 
+    /** Takes no more frames; those that are queued are still written. */
     fun close() {
         channel.close()
     }
 
+    /** Takes no more frames, drops those that are queued, and resumes the senders that wait. */
+    fun cancel() {
+        channel.cancel()
+    }
+
     private fun count(frame: ByteArray) {
         frames.incrementAndGet()
         bytes.addAndGet(frame.size.toLong())
