Link: count no frame whose sender has given up

Callers would see messages to a peer dropped for good: a core counts the bytes that wait on a link and takes no more beyond 8 MiB. A call has a time limit, so its sender gives up while the queue is full; its frame stayed counted, and so did the frames of a queue that was cancelled with its link.

The channel tells of each frame that it will not deliver, and that is where it is uncounted now.

Evidence: both new tests of SendQueueTest failed before (3 frames and 1,020 bytes instead of 2 and 20; 1 frame instead of none) and pass now, with LinkTest.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -15,7 +15,7 @@
     maximumFrames: Int,
     private val maximumBytes: Long,
 ) {
-    private val channel = Channel<ByteArray>(maximumFrames)
+    private val channel = Channel<ByteArray>(maximumFrames, onUndeliveredElement = { uncount(it.size) })
     private val frames = AtomicInteger()
     private val bytes = AtomicLong()
 
@@ -31,12 +31,10 @@
             channel.send(frame)
             true
         } catch (_: ClosedSendChannelException) {
-            uncount(frame.size)
             false
         } catch (_: CancellationException) {
             // The end of the link cancels the queue, which is no reason to cancel the sender.
             currentCoroutineContext().ensureActive()
-            uncount(frame.size)
             false
         }
     }
