Guard the reading of requests' bodies against a lost resumption

The fault of answers, whose reading was paused and resumed by two threads, was looked for where an entry takes the bodies of requests. It is not there: the library takes a request that is aggregated without an executor on the thread of its connection.

--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
@@ -0,0 +1,126 @@
+package org.zinniahoist.gateway.entry
+
+import com.linecorp.armeria.common.logging.RequestLogProperty
+import com.linecorp.armeria.server.Server
+import io.netty.channel.Channel
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.zinniahoist.gateway.core.StubDialect
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.link.CoreClient
+import org.zinniahoist.gateway.link.CoreObserver
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.BlockedLoop
+import org.zinniahoist.gateway.upstream.ListReader
+import org.zinniahoist.gateway.upstream.isPausedSoon
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Region
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
+import org.zinniahoist.policy.routes.LatencyChooser
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isTrue
+import strikt.assertions.startsWith
+import java.net.Socket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executor
+import java.util.concurrent.Executors
+import kotlin.concurrent.thread
+
+/** Requests of clients whose bodies arrive before an entry takes them. */
+internal class RequestBodyTest {
+    private val fixture = UpstreamFixture()
+    private val gate = CompletableFuture<Unit>()
+    private val workers = Executors.newSingleThreadExecutor()
+    private val scope = CoroutineScope(SupervisorJob() + Executor(::runBehindGate).asCoroutineDispatcher())
+    private val channel = CompletableFuture<Channel>()
+    private val server = start(entry())
+
+    private fun runBehindGate(task: Runnable) {
+        gate.thenRunAsync(task, workers)
+    }
+
+    @AfterEach
+    fun close() {
+        scope.cancel()
+        server.closeAsync().join()
+        workers.shutdownNow()
+        fixture.close()
+    }
+
+    /**
+     * Guards against a request whose body is never read to its end although its client sends: a resumption by another
+     * thread than the one that pauses reading may come before the pause that it belongs to.
+     */
+    @Test
+    fun `reading a body is resumed by the thread that pauses it`() {
+        Socket("127.0.0.1", server.activeLocalPort()).use { client ->
+            thread(isDaemon = true) { client.getOutputStream().write(request()) }
+            val connection = channel.join()
+            expectThat(connection.isPausedSoon()).describedAs("reading is paused").isTrue()
+
+            val blocked = BlockedLoop(connection)
+            gate.complete(Unit)
+            val isResumed = blocked.isReadingResumed()
+            blocked.release()
+            expectThat(isResumed).describedAs("reading is resumed by another thread").isFalse()
+            expectThat(client.getInputStream().bufferedReader().readLine()).startsWith("HTTP/1.1 503")
+        }
+    }
+
+    private fun request(): ByteArray =
+        "POST /s/ HTTP/1.1\r\nhost: h\r\ncontent-length: $BODY_BYTES\r\n\r\n".encodeToByteArray() +
+            ByteArray(BODY_BYTES)
+
+    private fun start(entry: EntryHttp): Server {
+        val builder = Server.builder().http(0).requestTimeoutMillis(0).maxRequestLength(2L * BODY_BYTES)
+        builder.serviceUnder("/") { context, request ->
+            context.log().whenAvailable(RequestLogProperty.SESSION).thenAccept { channel.complete(it.channel()) }
+            entry.serve(context, request)
+        }
+        return builder.build().also { it.start().join() }
+    }
+
+    /** An entry that knows no configuration: it refuses a request once it has read its body. */
+    private fun entry(): EntryHttp {
+        val dialect = Dialect()
+        val reader = ListReader(dialect.paths, dialect::listPage, fixture.calls, Endpoint("127.0.0.1", 1))
+        val directory = UpstreamDirectory(LatencyChooser(), reader, fixture.clock)
+        val core = CoreClient(emptySet(), hello(), Observer, scope, fixture.clock)
+        return EntryHttp(dialect, core, directory, fixture.calls, scope, fixture.clock, GatewayMetrics())
+    }
+
+    private fun hello() = LinkMessage.Hello(
+        protocolVersion = LinkLimits.PROTOCOL_VERSION,
+        instance = InstanceName("e"),
+        incarnation = Incarnation(1),
+        failureDomain = FailureDomain("a", Region("r")),
+        roles = setOf(Role.ENTRY),
+    )
+
+    private class Dialect : PlatformDialect by StubDialect() {
+        override fun clientCall(method: String, path: String, query: String?) = null
+    }
+
+    private object Observer : CoreObserver {
+        override fun onConfiguration(revision: Revision, document: ByteArray) = Unit
+
+        override fun onUpstreams(entries: List<ListedUpstream>?) = Unit
+    }
+
+    private companion object {
+        /** Many times what may wait unread. */
+        const val BODY_BYTES = 8 shl 20
+    }
+}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/PausedReadingTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/PausedReadingTest.kt
@@ -20,8 +20,6 @@
 import strikt.assertions.isTrue
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.atomic.AtomicLong
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /** An answer that arrives faster than it is taken, so that reading from its connection is paused. */
@@ -46,14 +44,14 @@
         val taker = Taker()
         response.subscribe(taker, executor)
         val channel = channelOf(context)
-        expectThat(holds { !channel.config().isAutoRead }).describedAs("reading is paused").isTrue()
+        expectThat(channel.isPausedSoon()).describedAs("reading is paused").isTrue()
 
         val blocked = BlockedLoop(channel)
         taker.subscription.join().request(Long.MAX_VALUE)
-        val isResumed = holds(BLOCKED_TIME) { channel.config().isAutoRead }
+        val isResumed = blocked.isReadingResumed()
         blocked.release()
         expectThat(isResumed).describedAs("reading is resumed by another thread").isFalse()
-        expectThat(holds { taker.taken.get() >= FAR_BYTES }).describedAs("reading goes on").isTrue()
+        expectThat(holdsWithin(BOUND) { taker.taken.get() >= FAR_BYTES }).describedAs("reading goes on").isTrue()
     }
 
     private fun open(upstream: RawUpstream): Pair<ClientRequestContext, HttpResponse> =
@@ -66,16 +64,6 @@
     private fun channelOf(context: ClientRequestContext): Channel =
         checkNotNull(context.log().whenAvailable(RequestLogProperty.SESSION).join().channel())
 
-    /** Returns true once [condition] holds, and false if it doesn't within [bound]. */
-    private fun holds(bound: Duration = BOUND, condition: () -> Boolean): Boolean {
-        val end = System.nanoTime() + bound.inWholeNanoseconds
-        while (System.nanoTime() < end) {
-            if (condition()) return true
-            Thread.sleep(1)
-        }
-        return condition()
-    }
-
     /** Takes nothing until the test asks for it. */
     private class Taker : Subscriber<HttpObject> {
         val subscription = CompletableFuture<Subscription>()
@@ -94,30 +82,9 @@
         override fun onComplete() = Unit
     }
 
-    /** Keeps the thread of a connection busy until it is released. */
-    private class BlockedLoop(channel: Channel) {
-        private val released = CompletableFuture<Unit>()
-
-        init {
-            val begun = CompletableFuture<Unit>()
-            channel.eventLoop().execute {
-                begun.complete(Unit)
-                released.join()
-            }
-            begun.join()
-        }
-
-        fun release() {
-            released.complete(Unit)
-        }
-    }
-
     private companion object {
         val BOUND = 8.seconds
 
-        /** The pieces that wait are taken within a few milliseconds. */
-        val BLOCKED_TIME = 500.milliseconds
-
         /** Many times what may wait unread. */
         const val FAR_BYTES = 4L shl 20
     }
