Core: read the routes of a configuration only when they are needed

Callers saw: requests refused for want of a configuration in the seconds after a final fault.

Replicas that don't lead need none.

The newest one is now decoded when the work of the leader begins, and each later one while it leads.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -56,6 +56,7 @@
         metrics,
     )
     private val loader = WeightLoader(engine.board)
+    private var unreadRoutes: (() -> RouteTable?)? = null
     private val orders = WeightOrders(dialect, calls, loader, scope, thread::post, clock, ::confirmLeadership, metrics)
 
     /** Starts to read the platform's list while this replica leads. */
@@ -71,8 +72,20 @@
         orders.tick(engine.needsSingleVersion(), engine::openTokens)
     }
 
-    /** The routes in force have changed; [read] returns them, or null if they can't be read. */
-    fun onRoutes(read: () -> RouteTable?): Unit = thread.post { engine.routes = read() }
+    /**
+     * The routes in force have changed; [read] returns them, or null if they can't be read. Routes that are not needed
+     * are not read: a replica that starts passes all earlier ones.
+     */
+    fun onRoutes(read: () -> RouteTable?): Unit = thread.post {
+        unreadRoutes = read
+        if (leadership.isActive) readRoutes()
+    }
+
+    private fun readRoutes() {
+        val read = unreadRoutes ?: return
+        unreadRoutes = null
+        engine.routes = read()
+    }
 
     /** A job was accepted, got results or was ended. */
     fun onJob(record: JobRecord): Unit = thread.post { engine.onJob(record) }
@@ -108,6 +121,7 @@
     private fun take(action: LeadershipAction.Take) {
         orders.right = OrderRight(settings.machine, action.fence, from = clock() + settings.orderLease)
         machine.versions.forEach { (model, version) -> loader.onNamed(model, version) }
+        readRoutes()
         engine.activate()
         logger.info { "event=jobs-taken term=${action.term} fence=${action.fence} jobs=${machine.jobs.size}" }
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
@@ -0,0 +1,118 @@
+package org.zinniahoist.gateway.core
+
+import arrow.core.Either
+import arrow.core.right
+import com.linecorp.armeria.client.BlockingWebClient
+import com.linecorp.armeria.client.WebClient
+import com.linecorp.armeria.common.AggregatedHttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.zinniahoist.gateway.dialect.OperatorCall
+import org.zinniahoist.gateway.dialect.OutboundPaths
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Revision
+import org.zinniahoist.policy.routes.ConfigurationFault
+import org.zinniahoist.policy.routes.ServiceConfiguration
+import org.zinniahoist.settings.GatewayRole
+import org.zinniahoist.settings.GatewaySettings
+import strikt.api.expectThat
+import strikt.assertions.isEqualTo
+import strikt.assertions.isLessThanOrEqualTo
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Start of a core that is the only replica of its group. */
+class CoreStartTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private val operators = Endpoint(HOST, freePort())
+    private val decoded = AtomicInteger()
+
+    private fun core(linkPort: Int) = CoreProcess(settings(linkPort), Dialect(), { Moment(System.nanoTime()) }, ::error)
+
+    private fun await(call: (BlockingWebClient) -> AggregatedHttpResponse) {
+        val client = WebClient.of("h1c://$operators").blocking()
+        val end = System.nanoTime() + BOUND.inWholeNanoseconds
+        while (runCatching { call(client).status() }.getOrNull() != HttpStatus.OK) {
+            check(System.nanoTime() < end) { "not within $BOUND" }
+            Thread.sleep(20)
+        }
+    }
+
+    /** Guards against a start that decodes each configuration of the log before the newest one is served. */
+    @Test
+    fun `a core that starts decodes the configuration in force and none before it`() {
+        val linkPort = freePort()
+        val first = core(linkPort)
+        first.start()
+        repeat(CONFIGURATIONS) { number -> await { it.post(CONFIGURE, "${number + 1}") } }
+        first.stop()
+        decoded.set(0)
+        val second = core(linkPort)
+        second.start()
+        await { it.get(READ) }
+        Thread.sleep(TAKEN_WITHIN.inWholeMilliseconds)
+        val newest = WebClient.of("h1c://$operators").blocking().get(READ).contentUtf8()
+        expectThat(newest).isEqualTo("$CONFIGURATIONS")
+        expectThat(decoded.get()).isLessThanOrEqualTo(2)
+        second.stop()
+    }
+
+    private inner class Dialect : PlatformDialect by StubDialect() {
+        override val paths = object : OutboundPaths {
+            override val report = StubDialect.REPORT
+            override val order = StubDialect.ORDER
+
+            override fun list(token: String?): String = "/list"
+        }
+
+        override fun operatorCall(method: String, path: String): OperatorCall =
+            if (path == CONFIGURE) OperatorCall.Configure else OperatorCall.ReadConfiguration
+
+        override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> {
+            decoded.incrementAndGet()
+            val revision = Revision(document.decodeToString().toLong())
+            return ServiceConfiguration(revision, emptyList(), emptyList(), limits = null).right()
+        }
+    }
+
+    private fun settings(linkPort: Int) = GatewaySettings(
+        machine = "core-1",
+        role = GatewayRole.CORE,
+        failureDomain = "a",
+        region = "r",
+        address = HOST,
+        linkPort = linkPort,
+        dataFolder = folder.toString(),
+        clients = null,
+        readiness = null,
+        operators = operators,
+        seeds = listOf(operators),
+        firstStart = true,
+        toleratedLosses = 0,
+        listEndpoint = Endpoint(HOST, freePort()),
+        grace = 2.seconds,
+        orderLease = 1.seconds,
+    )
+
+    private companion object {
+        const val HOST = "127.0.0.1"
+        const val CONFIGURE = "/configure"
+        const val READ = "/read"
+        const val CONFIGURATIONS = 30
+        val BOUND = 20.seconds
+
+        /** A leader begins its work within two ticks of 50 ms. */
+        val TAKEN_WITHIN = 500.milliseconds
+
+        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+    }
+}
