Link: count each part of a frame that arrives as a sign of the peer

Cause: only a whole frame ended the silence of a peer, and heartbeats wait behind the frame that is being sent.

Fix: each part of a frame that is read, and each confirmation, ends the silence. A peer that sends nothing is noticed as before.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -29,18 +29,20 @@
     private val window = SendWindow(WINDOW_BYTES)
     private var unconfirmed = 0
 
-    suspend fun read(): Message {
-        val bytes = readFrame()
+    /** Reads the next message. Calls [onProgress] after each part that was read. */
+    suspend fun read(onProgress: () -> Unit): Message {
+        val bytes = readFrame(onProgress)
         return when (val frame = FrameCodec.decode(bytes)) {
             is DecodedFrame.Whole -> frame.message
             is DecodedFrame.Damaged -> throw FrameException("damaged frame: ${frame.detail}")
         }
     }
 
-    private suspend fun readFrame(): ByteArray {
+    private suspend fun readFrame(onProgress: () -> Unit): ByteArray {
         val parts = ByteArrayOutputStream(0)
         while (true) {
             val header = input.readInt()
+            onProgress()
             if (header < 0) {
                 release(-header)
                 continue
@@ -50,6 +52,7 @@
             if (size !in 1..maximumFrameBytes - parts.size()) throw FrameException("frame of $size bytes")
             val chunk = ByteArray(size)
             input.readFully(chunk)
+            onProgress()
             confirm(size)
             parts.write(chunk)
             if (header and MORE_FLAG != 0) continue
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -46,7 +46,7 @@
     /** The other side said goodbye. */
     public data class Goodbye(public val reason: String) : LinkCloseCause
 
-    /** No frame was received for the silence limit. */
+    /** Nothing was received for the silence limit. */
     public data object Silent : LinkCloseCause
 
     /** A frame was too large, damaged or of an unknown kind. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -8,7 +8,7 @@
 /** Times and sizes of links. */
 public data class LinkLimits(
     public val heartbeatInterval: Duration = 500.milliseconds,
-    /** Time without a frame after which a link is closed. */
+    /** Time after which a link is closed if nothing was read from the peer, not even a part of a frame. */
     public val silenceLimit: Duration = 2_500.milliseconds,
     /** Time between two checks for silence; a silent link is noticed this much later at most. */
     public val checkInterval: Duration = 50.milliseconds,
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -97,8 +97,7 @@
     private suspend fun greet(): String? = try {
         frames.write(encode(end.hello))
         frames.flush()
-        val first = frames.read()
-        silence.onFrame(end.clock())
+        val first = readMessage()
         when {
             first !is LinkMessage.Hello -> "first message is no hello"
             first.protocolVersion != end.hello.protocolVersion -> refuseVersion(first)
@@ -177,8 +176,7 @@
 
     private suspend fun read(): LinkCloseCause {
         while (true) {
-            val message = frames.read()
-            silence.onFrame(end.clock())
+            val message = readMessage()
             if (message is LinkMessage.Goodbye) return LinkCloseCause.Goodbye(message.reason)
             if (message is LinkMessage.Hello) throw FrameException("second hello")
             if (message is LinkMessage.Heartbeat) lastHeartbeatReceived = message.sequence
@@ -188,6 +186,8 @@
         }
     }
 
+    private suspend fun readMessage(): Message = frames.read { silence.onProgress(end.clock()) }
+
     private suspend fun watch() {
         var nextHeartbeat = end.clock()
         var sequence = 0L
--- a/wire/src/main/kotlin/org/zinniahoist/wire/PeerSilence.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/PeerSilence.kt
@@ -17,9 +17,9 @@
     private var countedUntil = start
     private var handling = false
 
-    /** A frame was read at [now]. */
+    /** A frame or a part of one was read at [now]. */
     @Synchronized
-    fun onFrame(now: Moment) {
+    fun onProgress(now: Moment) {
         silentFor = Duration.ZERO
         countedUntil = now
     }
@@ -34,14 +34,14 @@
     @Synchronized
     fun onHandlingEnd(now: Moment) {
         handling = false
-        onFrame(now)
+        onProgress(now)
     }
 
     /** Counts the time until [now]. Returns whether nothing was read for the limit. */
     @Synchronized
     fun check(now: Moment): Boolean {
         if (handling) return false
-        // A frame can be read after the caller has taken the time.
+        // Bytes can be read after the caller has taken the time.
         silentFor += (now - countedUntil).coerceIn(Duration.ZERO, limit / 2)
         countedUntil = maxOf(now, countedUntil)
         return silentFor >= limit
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
@@ -0,0 +1,61 @@
+package org.zinniahoist.wire
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
+import kotlinx.coroutines.awaitAll
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.Revision
+import strikt.api.expectThat
+import strikt.assertions.isFalse
+import strikt.assertions.isGreaterThanOrEqualTo
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.seconds
+
+class LinkEndTest {
+    private val cleanup = ArrayDeque<AutoCloseable>()
+    private val clock = ManualClock()
+    private val handler = RecordingHandler()
+
+    @AfterEach
+    fun close() = cleanup.reversed().forEach { it.close() }
+
+    private suspend fun serve(handler: LinkHandler, limits: LinkLimits): Pair<LinkServer, RawPeer> {
+        val bind = Endpoint("127.0.0.1", 0)
+        val server = LinkServer(bind, hello("server"), handler, { HeartbeatContent() }, clock::now, limits)
+        cleanup += server
+        val peer = RawPeer(server.start()).also { cleanup += it }
+        return server to peer
+    }
+
+    /** Guards against senders that wait for ever, with what they hold, when a link with a full queue closes. */
+    @Test
+    fun `senders that wait for a full queue are told when the link closes`(): Unit = runBlocking {
+        val peer = serve(handler, LinkLimits(sendQueueFrames = 1)).second
+        peer.greet()
+        val link = handler.opened.receive()
+        val scope = CoroutineScope(Dispatchers.Default)
+        val senders = List(5) {
+            scope.async(start = CoroutineStart.UNDISPATCHED) {
+                link.send(ControlMessage.ReplicaTraffic("g", Random(it).nextBytes(100_000)))
+            }
+        }
+        expectThat(link.offer(ControlMessage.Subscribe(Revision(1)))).isFalse()
+        peer.close()
+        handler.closed.receive()
+        val sent = withTimeoutOrNull(WAIT) { senders.awaitAll() }
+        scope.cancel()
+        // One frame waits in the queue and one in the writer at most.
+        expectThat(sent.orEmpty().count { !it }).isGreaterThanOrEqualTo(3)
+    }
+
+    private companion object {
+        val WAIT = 10.seconds
+    }
+}
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkFixture.kt
@@ -78,12 +78,29 @@
 
     fun greet(version: Int = LinkLimits.PROTOCOL_VERSION) = frame(FrameCodec.encode(hello("raw", version)))
 
-    fun read(): Message {
-        val bytes = ByteArray(input.readInt())
+    /** Sends [bytes] as a part of a frame that goes on. */
+    fun chunk(bytes: ByteArray) {
+        output.writeInt(bytes.size or MORE_FLAG)
+        raw(bytes)
+    }
+
+    fun read(): Message = read(input.readInt())
+
+    private fun read(size: Int): Message {
+        val bytes = ByteArray(size)
         input.readFully(bytes)
         return (FrameCodec.decode(bytes) as DecodedFrame.Whole).message
     }
 
+    /** Reads until the other side confirms that it has read [CONFIRMED_BYTES]. */
+    fun readConfirmation() {
+        var header = input.readInt()
+        while (header >= 0) {
+            read(header)
+            header = input.readInt()
+        }
+    }
+
     fun send(message: Message) = frame(FrameCodec.encode(message))
 
     /** Reads messages up to the next heartbeat. Throws an [java.io.EOFException] if the connection ends before. */
@@ -98,4 +115,10 @@
     }
 
     override fun close() = socket.close()
+
+    companion object {
+        /** Bytes that are confirmed at once. */
+        const val CONFIRMED_BYTES = 16 * 1_024
+        private const val MORE_FLAG = 1 shl 30
+    }
 }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
@@ -1,12 +1,6 @@
 package org.zinniahoist.wire
 
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.CoroutineStart
-import kotlinx.coroutines.Dispatchers
-import kotlinx.coroutines.async
-import kotlinx.coroutines.awaitAll
-import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.coroutines.yield
@@ -23,7 +17,6 @@
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
-import strikt.assertions.isGreaterThanOrEqualTo
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.random.Random
@@ -225,6 +218,24 @@
             advance(peer, 1_250.milliseconds)
         }
 
+        /** Guards against links that are closed while a frame arrives that takes longer than the limit. */
+        @Test
+        fun `a peer is not silent while a long frame arrives`(): Unit = runBlocking {
+            val (_, endpoint) = serve()
+            val peer = peer(endpoint).apply { greet() }
+            serverHandler.opened.receive()
+            peer.readHeartbeat()
+            val chunks = FrameCodec.encode(ControlMessage.ReplicaTraffic("g", ByteArray(80_000))).toList()
+                .chunked(RawPeer.CONFIRMED_BYTES) { it.toByteArray() }
+            chunks.dropLast(1).forEach {
+                peer.chunk(it)
+                peer.readConfirmation()
+                advance(peer, 1_250.milliseconds)
+            }
+            peer.frame(chunks.last())
+            expectThat(withTimeoutOrNull(WAIT) { serverHandler.next() }).isA<ControlMessage.ReplicaTraffic>()
+        }
+
         private fun advance(peer: RawPeer, duration: Duration) {
             clock.advance(duration)
             peer.readHeartbeat()
@@ -256,30 +267,6 @@
         }
     }
 
-    @Nested
-    inner class End {
-        /** Guards against senders that wait for ever, with what they hold, when a link with a full queue closes. */
-        @Test
-        fun `senders that wait for a full queue are told when the link closes`(): Unit = runBlocking {
-            val (_, endpoint) = serve(limits = LinkLimits(sendQueueFrames = 1))
-            val peer = peer(endpoint).apply { greet() }
-            val link = serverHandler.opened.receive()
-            val scope = CoroutineScope(Dispatchers.Default)
-            val senders = List(5) {
-                scope.async(start = CoroutineStart.UNDISPATCHED) {
-                    link.send(ControlMessage.ReplicaTraffic("g", Random(it).nextBytes(100_000)))
-                }
-            }
-            expectThat(link.offer(ControlMessage.Subscribe(Revision(1)))).isFalse()
-            peer.close()
-            serverHandler.closed.receive()
-            val sent = withTimeoutOrNull(WAIT) { senders.awaitAll() }
-            scope.cancel()
-            // One frame waits in the queue and one in the writer at most.
-            expectThat(sent.orEmpty().count { !it }).isGreaterThanOrEqualTo(3)
-        }
-    }
-
     private companion object {
         val WAIT = 10.seconds
     }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/PeerSilenceTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/PeerSilenceTest.kt
@@ -14,7 +14,7 @@
 
     private fun check(milliseconds: Int): Boolean = silence.check(Moment.ZERO + milliseconds.milliseconds)
 
-    private fun frame(milliseconds: Int) = silence.onFrame(Moment.ZERO + milliseconds.milliseconds)
+    private fun frame(milliseconds: Int) = silence.onProgress(Moment.ZERO + milliseconds.milliseconds)
 
     @Test
     fun `a peer is silent once the limit has passed without a frame`() {
