State: forget a job that its trainer has ended 150 s after its submission

All jobs were kept for ten minutes, while trainers read results for two minutes from the submission, or while the job is open.

An ended job is now forgotten 150 s after its submission: two minutes, the clocks of two leaders that may each be off by 6 s in either direction, and a rest. A job that is not ended is kept for ten minutes as before.

Evidence: 'forgets an ended job when its results are no longer asked for' failed before: the job was there 151 s after its submission.

--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** Told of changes by the thread of the replica; must not block. */
 public interface ServiceListener {
@@ -26,10 +27,12 @@
  * Configuration, named versions of weights, batch jobs with their results, and fencing tokens.
  *
  * @param retention time after its submission for which a job and its results are kept.
+ * @param endedRetention the same for a job that its trainer has ended.
  */
 public class ServiceStateMachine(
     private val listener: ServiceListener,
     private val retention: Duration = DEFAULT_RETENTION,
+    private val endedRetention: Duration = DEFAULT_ENDED_RETENTION,
 ) : StateMachine {
     private val jobsByIdentifier = ConcurrentHashMap<JobIdentifier, JobRecord>()
     private val namedVersions = ConcurrentHashMap<ModelName, WeightVersion>()
@@ -100,7 +103,8 @@
 
     private fun expire(timeMilliseconds: Long) {
         val oldest = timeMilliseconds - retention.inWholeMilliseconds
-        jobsByIdentifier.values.removeIf { it.submittedMilliseconds < oldest }
+        val oldestEnded = timeMilliseconds - endedRetention.inWholeMilliseconds
+        jobsByIdentifier.values.removeIf { it.submittedMilliseconds < if (it.isEnded) oldestEnded else oldest }
     }
 
     /** Answers nothing; a query only confirms that what was acknowledged before it is applied here. */
@@ -125,7 +129,13 @@
     }
 
     public companion object {
-        /** Several times the two minutes for which trainers read results, as the leaders' clocks may jump. */
+        /** Longer than any job stays open. */
         public val DEFAULT_RETENTION: Duration = 10.minutes
+
+        /**
+         * The two minutes for which trainers read results, and the difference of two leaders' clocks, each of which may
+         * be off by 6 s in either direction.
+         */
+        public val DEFAULT_ENDED_RETENTION: Duration = 150.seconds
     }
 }
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -13,6 +13,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.concurrent.thread
@@ -177,6 +178,27 @@
         expectThat(machine.jobs).hasSize(1)
     }
 
+    /** Guards against a leader whose heap fills with the results of jobs that nobody reads any more. */
+    @Test
+    fun `forgets an ended job when its results are no longer asked for`() {
+        submit("j", time = 0)
+        apply(ServiceCommand.EndJob(JobIdentifier("j")), time = 1)
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 151_000)
+        expectThat(machine.job(JobIdentifier("j"))).isNull()
+    }
+
+    /** Guards against a 404 for a job that its trainer may still read while the clocks of leaders differ. */
+    @Test
+    fun `keeps an ended job while its trainer may read it, and an open job longer`() {
+        submit("j", time = 0)
+        submit("open", time = 0)
+        apply(ServiceCommand.EndJob(JobIdentifier("j")), time = 1)
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 135_000)
+        expectThat(machine.job(JobIdentifier("j"))).isNotNull()
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 500_000)
+        expectThat(machine.job(JobIdentifier("open"))).isNotNull()
+    }
+
     private companion object {
         val LONG_TEXT = (1..600).joinToString("\n") { "event $it of a text" }
     }
