--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -170,11 +170,8 @@
         }
 
         private fun List<ReplicaAction>.snapshotBytesTo(peer: Int): Long = filterIsInstance<ReplicaAction.Send>()
-            .filter { it.message.to == addresses[peer].identifier }
-            .sumOf { it.message.payloadOfSnapshot() }
-
-        private fun ReplicaMessage.payloadOfSnapshot(): Long =
-            (content as? SnapshotRequest)?.snapshot?.data?.size?.toLong() ?: 0
+            .filter { it.message.to == addresses[peer].identifier && it.message.content is SnapshotRequest }
+            .sumOf { it.message.payloadBytes }
 
         /** Steps through [count] heartbeats, each of which the first peer answers. */
         private fun Replica.heartbeats(count: Int): List<ReplicaAction> = List(count) {
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -33,7 +33,7 @@
         }
     }
 
-    /** Returns false if the queue is full or closed. A frame of any size has a place while less than the limit waits. */
+    /** Returns false if the queue is full or closed. Below the limit of bytes a frame of any size has a place. */
     fun offer(frame: ByteArray): Boolean {
         if (bytes.get() >= maximumBytes) return false
         count(frame)
