Core: do not wake the engine for each result of the log

Callers saw: requests refused for want of a configuration for 0.3 to 0.5 s after the election that follows a final fault.

Cause: the new leader first applies its log, over a thousand results after 40 s. Each result was handed to the thread of the engine as a change of its job, which woke the thread for nothing: results are its own work, and a job that is not begun is found by the reconciliation.

Results are now told apart from jobs that were accepted, restored or ended, and only wake readers.

ServiceStateMachineTest states the difference; it needs the new function, so it can't run on the code before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -80,7 +80,7 @@
         waits.clear()
     }
 
-    /** A job was accepted, got results or was ended. */
+    /** A job was accepted or ended. */
     fun onJob(record: JobRecord) {
         val identifier = record.job.identifier
         if (record.isEnded) ages.forget(identifier) else ages.learn(identifier, clock())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -155,10 +155,12 @@
         )
 
     override fun onJob(record: JobRecord) {
-        jobs.onJob(record)
+        jobs.onChanged(record)
         duties.onJob(record)
     }
 
+    override fun onResults(record: JobRecord): Unit = jobs.onChanged(record)
+
     override fun onVersion(model: ModelName, version: WeightVersion) {
         logger.info { "event=version-named model=$model version=$version" }
         duties.onVersion(model, version)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -29,7 +29,7 @@
     private val waiters = ConcurrentHashMap<JobIdentifier, CompletableDeferred<Unit>>()
 
     /** Wakes the readers of a job that changed. */
-    fun onJob(record: JobRecord) {
+    fun onChanged(record: JobRecord) {
         waiters.remove(record.job.identifier)?.complete(Unit)
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -87,7 +87,7 @@
         engine.routes = read()
     }
 
-    /** A job was accepted, got results or was ended. */
+    /** A job was accepted or ended. */
     fun onJob(record: JobRecord): Unit = thread.post { engine.onJob(record) }
 
     /** New weights of [model] were named. */
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -182,6 +182,8 @@
         if (isTold) thread.post { engine.onJob(record) }
     }
 
+    override fun onResults(record: JobRecord) = Unit
+
     override fun onVersion(model: ModelName, version: WeightVersion) = Unit
 
     override fun close() {
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -15,9 +15,12 @@
     /** A configuration with a higher revision is in force. */
     public fun onConfiguration(configuration: StoredConfiguration)
 
-    /** [record] was accepted, got results or was ended. */
+    /** [record] was accepted, restored or ended. */
     public fun onJob(record: JobRecord)
 
+    /** [record] got results. A replica that starts is told of all results of its log, one after the other. */
+    public fun onResults(record: JobRecord)
+
     /** The newest weights of a model are named. */
     public fun onVersion(model: ModelName, version: WeightVersion)
 }
@@ -62,8 +65,8 @@
             is ServiceCommand.AcceptConfiguration -> accept(StoredConfiguration(command.revision, command.document))
             is ServiceCommand.NameVersion -> name(command)
             is ServiceCommand.SubmitJob -> submit(command.job, timeMilliseconds)
-            is ServiceCommand.RecordResults -> return change(command.job) { it.list(command.results) }
-            is ServiceCommand.EndJob -> return change(command.job) { it.end() }
+            is ServiceCommand.RecordResults -> return record(command)
+            is ServiceCommand.EndJob -> return end(command.job)
             is ServiceCommand.RetireInstance -> retiring[command.node] = Retirement(command.node, command.instance)
             is ServiceCommand.DrawFence -> return ServiceAnswer.Fence(FencingToken(index))
         }
@@ -90,9 +93,16 @@
         listener.onJob(record)
     }
 
-    private fun change(identifier: JobIdentifier, block: (JobRecord) -> Unit): ServiceAnswer {
+    private fun record(command: ServiceCommand.RecordResults): ServiceAnswer {
+        val record = jobsByIdentifier[command.job] ?: return ServiceAnswer.UnknownJob
+        record.list(command.results)
+        listener.onResults(record)
+        return ServiceAnswer.Done
+    }
+
+    private fun end(identifier: JobIdentifier): ServiceAnswer {
         val record = jobsByIdentifier[identifier] ?: return ServiceAnswer.UnknownJob
-        block(record)
+        record.end()
         listener.onJob(record)
         return ServiceAnswer.Done
     }
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -23,6 +23,8 @@
 
         override fun onJob(record: JobRecord) = Unit
 
+        override fun onResults(record: JobRecord) = Unit
+
         override fun onVersion(model: ModelName, version: WeightVersion) = Unit
     }
 
@@ -36,14 +38,41 @@
         apply(ServiceCommand.AcceptConfiguration(Revision(revision), byteArrayOf(content.toByte())))
 
     private fun submit(name: String, time: Long = 0): ServiceAnswer {
-        val items = listOf("a", "b").map { BatchItem(RequestIdentifier(it), "/p", emptyList(), byteArrayOf(1), 10) }
-        return apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(name), "h", "/p/", items)), time)
+        val job = BatchJob(JobIdentifier(name), "h", "/p/", listOf(item("a"), item("b")))
+        return apply(ServiceCommand.SubmitJob(job), time)
     }
 
+    private fun item(name: String) = BatchItem(RequestIdentifier(name), "/p", emptyList(), byteArrayOf(1), 10)
+
     private fun record(item: String, output: String) = apply(
         ServiceCommand.RecordResults(JobIdentifier("j"), listOf(ItemResult(RequestIdentifier(item), true, output))),
     )
 
+    /** Guards against a replica that handles each result of its log as a change of the job when it starts. */
+    @Test
+    fun `tells of results apart from the begin and the end of a job`() {
+        val told = ArrayList<String>()
+        val listener = object : ServiceListener by Silent {
+            override fun onJob(record: JobRecord) {
+                told += if (record.isEnded) "ended" else "accepted"
+            }
+
+            override fun onResults(record: JobRecord) {
+                told += "results ${record.results.size}"
+            }
+        }
+        val job = BatchJob(JobIdentifier("j"), "h", "/p/", listOf(item("a"), item("b")))
+        val machine = ServiceStateMachine(listener)
+        val results = listOf("a", "b").map { ItemResult(RequestIdentifier(it), true, "text") }
+        val commands = listOf(ServiceCommand.SubmitJob(job)) +
+            results.map { ServiceCommand.RecordResults(job.identifier, listOf(it)) } +
+            ServiceCommand.EndJob(job.identifier)
+        commands.forEachIndexed { i, command ->
+            machine.apply(i + 1L, 0, StateCodec.encode<ServiceCommand>(command))
+        }
+        expectThat(told).containsExactly("accepted", "results 1", "results 2", "ended")
+    }
+
     /** Guards against an older or equal revision that replaces the one in force. */
     @Test
     fun `keeps the configuration with the highest revision and its first content`() {
