Entry: fetch announced configurations one at a time

Callers saw: entries without the configuration in force in the seconds after a final fault.

Cause: a core that starts applies all configurations of its log and announces each.

One fetch runs at a time; what is announced meanwhile is fetched afterwards.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -50,11 +50,8 @@
     @Volatile
     private var revision = Revision.NONE
 
-    @Volatile
     private var fetchStarted: Moment? = null
-
-    @Volatile
-    private var fetchedRevision = Revision.NONE
+    private var newest: Announcement? = null
 
     /** True once the newest configuration at some time after the start is known here. */
     @Volatile
@@ -151,20 +148,31 @@
         logger.info { "event=members-known members=${named.joinToString(",")} leader=${message.leader}" }
     }
 
-    /** Several replicas announce the same revision; one of them is asked, and another if it doesn't answer soon. */
+    /**
+     * Several replicas announce the same revision, and one that starts announces many. One replica is asked at a time,
+     * and another if it doesn't answer soon; what was announced meanwhile is fetched afterwards.
+     */
+    @Synchronized
     private fun fetchIfNewer(link: LinkConnection, announced: Revision) {
         if (announced <= revision) return
+        if (announced >= (newest?.revision ?: Revision.NONE)) newest = Announcement(link, announced)
         val now = clock()
-        val since = fetchStarted
-        if (since != null && announced <= fetchedRevision && now - since < FETCH_PATIENCE) return
+        if (fetchStarted?.let { now - it < FETCH_PATIENCE } == true) return
         fetchStarted = now
-        fetchedRevision = announced
         scope.launch { fetch(link) }
     }
 
     private suspend fun fetch(link: LinkConnection) {
         val reply = calls.call(link, ServiceCall.AppliedConfiguration(revision), FETCH_TIMEOUT)
         if (reply is ServiceReply.Document) take(reply)
+        onFetched(isAnswered = reply is ServiceReply.Document)
+    }
+
+    @Synchronized
+    private fun onFetched(isAnswered: Boolean) {
+        if (!isAnswered) return
+        fetchStarted = null
+        newest?.let { fetchIfNewer(it.link, it.revision) }
     }
 
     @Synchronized
@@ -174,6 +182,11 @@
         revision = document.revision
     }
 
+    private class Announcement(
+        val link: LinkConnection,
+        val revision: Revision,
+    )
+
     private companion object {
         val logger = KotlinLogging.logger {}
         val RETRY_INTERVAL = 40.milliseconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -6,7 +6,10 @@
 import com.linecorp.armeria.common.HttpStatus
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.zinniahoist.gateway.GatewayProcess
@@ -44,12 +47,15 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
 import org.zinniahoist.wire.Message
+import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceMessage
 import org.zinniahoist.wire.ServiceReply
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.time.Duration.ofMillis
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -61,12 +67,19 @@
 ) : AutoCloseable {
     private val clock = { Moment(System.nanoTime()) }
     private val upstream = startUpstream()
-    private val core = LinkServer(Endpoint(HOST, 0), hello(), Core(), ::HeartbeatContent, clock, PeerLinks.LIMITS)
+    private val replica = Core()
+    private val core = LinkServer(Endpoint(HOST, 0), hello(), replica, ::HeartbeatContent, clock, PeerLinks.LIMITS)
     private val readiness = Endpoint(HOST, freePort())
 
     /** Identifiers of the requests that have reached the upstream. */
     val begun: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
+    /** Revisions that the entry has put into force, in order. */
+    val inForce: MutableList<Revision> = CopyOnWriteArrayList()
+
+    /** Times the entry has asked for the configuration that the core has applied. */
+    val fetches: Int get() = replica.fetches.get()
+
     /** Where the entry listens for clients. */
     val clients = Endpoint(HOST, freePort())
     val entry: GatewayProcess =
@@ -85,6 +98,12 @@
         }
     }
 
+    /** The core applies the configuration with [revision] and announces it. */
+    fun announce(revision: Long) {
+        replica.newest = Revision(revision)
+        replica.links.forEach { it.offer(ServiceMessage.Configured(Revision(revision))) }
+    }
+
     override fun close() {
         runBlocking { core.stop("the test has ended") }
         upstream.stop().join()
@@ -145,8 +164,11 @@
 
         override fun clientCall(method: String, path: String, query: String?): ClientCall? = null
 
-        override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> =
-            ServiceConfiguration(REVISION, listOf(ROUTE), listOf(ServiceEntry(SERVICE, 100)), limits = null).right()
+        override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> {
+            val revision = Revision(document.decodeToString().toLong())
+            inForce += revision
+            return ServiceConfiguration(revision, listOf(ROUTE), listOf(ServiceEntry(SERVICE, 100)), null).right()
+        }
 
         override fun listPage(body: ByteArray): ListPage {
             val endpoint = Endpoint(HOST, upstream.activeLocalPort())
@@ -155,16 +177,36 @@
         }
     }
 
+    /** Needs a moment for each answer, as a core that starts does. */
     private class Core : LinkHandler {
-        override fun onOpen(link: LinkConnection) = Unit
+        val links: MutableSet<LinkConnection> = ConcurrentHashMap.newKeySet()
+        val fetches = AtomicInteger()
+        private val scope = CoroutineScope(Dispatchers.Default)
+
+        @Volatile
+        var newest = REVISION
+
+        override fun onOpen(link: LinkConnection) {
+            links += link
+        }
 
         override suspend fun onMessage(link: LinkConnection, message: Message) {
             if (message !is ServiceMessage.Call) return
-            val document = ServiceReply.Document(REVISION, DocumentCompression.compress("routes".encodeToByteArray()))
-            link.send(ServiceMessage.Reply(message.identifier, document))
+            if (message.call is ServiceCall.AppliedConfiguration) fetches.incrementAndGet()
+            val revision = newest
+            val document = ServiceReply.Document(
+                revision,
+                DocumentCompression.compress("$revision".encodeToByteArray()),
+            )
+            scope.launch {
+                delay(ANSWER_TIME)
+                link.send(ServiceMessage.Reply(message.identifier, document))
+            }
         }
 
-        override fun onClosed(link: LinkConnection, cause: LinkCloseCause) = Unit
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
+            links -= link
+        }
     }
 
     private companion object {
@@ -172,6 +214,7 @@
         val REVISION = Revision(1)
         val SERVICE = ServiceName("cases")
         val READY_WITHIN = 10.seconds
+        val ANSWER_TIME = 100.milliseconds
         val ROUTE = Route(
             name = "r",
             host = HOST,
