Replica: know no leader after its silence, without a vote too

Callers see: an entry or an operator that asks a spare which was removed while it was away is sent to a former leader, for as long as that process runs.

Cause: the leader's address was forgotten only at the start of a campaign. A replica without a vote doesn't campaign, so it named the leader that it heard last for good, with the members of that time, and passed requests to join on to it.

The address is now forgotten when the time in which a leader must be heard has passed, whether or not the replica may campaign.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -53,7 +53,7 @@
     /** True while this replica leads its group, as far as it knows. */
     public val isLeader: Boolean get() = leader != null
 
-    /** The instance of the leader of the present term, if known. */
+    /** The instance of the leader of the present term; null if it is unknown or has been silent for too long. */
     public val leaderHint: InstanceName? get() = leaderAddress?.instance
 
     /** Index of the last entry that is known to be committed. */
@@ -123,15 +123,11 @@
             if (!leading.onTick()) becomeFollower(term, null)
             return
         }
-        if (election.isDue && (context.mayCampaign || refusedOlderLog)) campaign()
+        if (election.isDue) leaderAddress = null
+        if (election.isDue && (context.mayCampaign || refusedOlderLog)) election.start()
         requestToJoin()
     }
 
-    private fun campaign() {
-        leaderAddress = null
-        election.start()
-    }
-
     private fun requestToJoin() {
         if (context.log.configuration.member(address.identifier) != null) return
         if (context.now - lastJoinRequest < context.options.electionTimeout) return
