Core: name the members only while a leader is heard

Callers see: all job calls of an entry are refused with 'no leader' although the group has one, until its leader or its members change again.

Cause: a replica that was cut off or stopped for longer than the absence limit of 2.5 s is replaced by a spare. When it comes back, its log names the former members and it hears no leader. It offered these to each link that opened, and entries keep links to all seeds. An entry takes over the members that it was told last and closes its links to all others, the leader's among them; the members say nothing again, as nothing has changed for them.

A replica now names members only while it hears a leader.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -68,13 +68,18 @@
         link.offer(ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
     }
 
-    /** Keeps links to the other [replicas] and tells everybody about [members]. */
+    /** Keeps links to the other [replicas] and tells everybody about [members] while they have a leader. */
     fun update(replicas: Set<InstanceName>, members: ServiceMessage.Members) {
         peers.keep(replicas - self)
         if (members == lastMembers) return
         lastMembers = members
         logger.info { "event=members members=${members.members.joinToString(",")} leader=${members.leader}" }
-        inbound.forEach { it.offer(members) }
+        inbound.forEach(::tellMembers)
+    }
+
+    /** A replica that hears no leader may have been replaced meanwhile, and its log names former members. */
+    private fun tellMembers(link: LinkConnection) {
+        if (lastMembers.leader != null) link.offer(lastMembers)
     }
 
     /** Tells everybody that [revision] is applied here. */
@@ -96,7 +101,7 @@
 
     override fun onOpen(link: LinkConnection) {
         inbound += link
-        if (lastMembers.members.isNotEmpty()) link.offer(lastMembers)
+        tellMembers(link)
         lastUpstreams?.let { link.offer(ServiceMessage.Upstreams(it)) }
     }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -0,0 +1,67 @@
+package org.zinniahoist.gateway.core
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Role
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ServiceListener
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.state.service.StoredConfiguration
+import org.zinniahoist.wire.ServiceMessage
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+
+class NamedMembersTest {
+    private object Silent : ServiceListener {
+        override fun onConfiguration(configuration: StoredConfiguration) = Unit
+
+        override fun onJob(record: JobRecord) = Unit
+
+        override fun onVersion(model: ModelName, version: WeightVersion) = Unit
+    }
+
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val jobs = JobCalls(StubDialect(), ServiceStateMachine(Silent)) { error("no replica") }
+    private val self = RecordedLink("127.0.0.1:1", Role.CONTROL).peer
+    private val links = CoreLinks("m1", self, jobs, scope, { Moment.ZERO })
+    private val former = listOf(self.instance, InstanceName("127.0.0.1:2"), InstanceName("127.0.0.1:3"))
+
+    @AfterEach
+    fun close() {
+        links.close()
+        scope.cancel()
+    }
+
+    /**
+     * Guards against entries without a link to the leader: a replica that was replaced while it was away named the
+     * members of its own log, and an entry closes its links to all others.
+     */
+    @Test
+    fun `a replica that hears no leader names no members`() {
+        val entry = RecordedLink("e1", Role.ENTRY).also(links::onOpen)
+        links.update(emptySet(), ServiceMessage.Members(former, leader = null))
+        val late = RecordedLink("e2", Role.ENTRY).also(links::onOpen)
+        expectThat(entry.offered + late.offered).isEmpty()
+    }
+
+    /** Guards against the same after a replica has lost its leader: links that open then must hear nothing of it. */
+    @Test
+    fun `a replica that lost its leader names no members to new links`() {
+        val known = ServiceMessage.Members(former, leader = former.last())
+        val entry = RecordedLink("e1", Role.ENTRY).also(links::onOpen)
+        links.update(emptySet(), known)
+        links.update(emptySet(), ServiceMessage.Members(former, leader = null))
+        val late = RecordedLink("e2", Role.ENTRY).also(links::onOpen)
+        expectThat(entry.offered).containsExactly(known)
+        expectThat(late.offered).isEmpty()
+    }
+}
