Group: go on within the process after a disk refused writes

Callers see gaps: a core whose disk refuses writes ends with code 2, reads its whole log at the next start, ends at the first append, and so on until the disk takes writes. A command that can't be applied does the same on all replicas at once, with no fault of a disk. A core whose disk hangs goes on as the leader beside the one that the others have elected.

Cause: a replica that had failed could only be opened by another start of the process, and its status was that of the last event it had handled.

A core that starts on a faulty disk waits for it; one whose folder is damaged ends with code 1, before only its main thread did.

ServiceStateMachineTest, 'holds nothing after an empty state was restored', was not run on the code before, where versions and retirements stayed.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/DiskFileStore.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/DiskFileStore.kt
@@ -82,9 +82,12 @@
     }
 
     override fun close() {
-        channels.values.forEach { it.close() }
-        channels.clear()
-        lockChannel.close()
+        try {
+            channels.values.forEach { it.close() }
+        } finally {
+            channels.clear()
+            lockChannel.close()
+        }
     }
 
     private fun channel(name: String): FileChannel = channels.getOrPut(name) {
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/LocalGroup.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/LocalGroup.kt
@@ -35,6 +35,8 @@
     size: Int,
     private val options: ReplicaOptions,
     private val onFailure: (String) -> Unit = {},
+    private val reopens: Boolean = false,
+    private val machine: () -> StateMachine = ::CountingMachine,
 ) {
     private val instances = List(size) { InstanceName("n$it") }
     val hosts = ConcurrentHashMap<InstanceName, GroupHost>()
@@ -48,9 +50,20 @@
     }
 
     fun start(number: Int): GroupHost {
-        val opened = GroupStorage.open(stores(number), ReplicaIdentifier(100L + number)).getOrElse { error(it.message) }
+        val identifier = ReplicaIdentifier(100L + number)
+        val opened = GroupStorage.open(stores(number), identifier).getOrElse { error(it.message) }
         val name = instances[number]
-        val host = GroupHost("test", name, CountingMachine(), opened, ::deliver, options, onFailure = onFailure)
+        val reopen: FolderOpening = { GroupStorage.open(stores(number), identifier, isAfterFailure = true) }
+        val host = GroupHost(
+            "test",
+            name,
+            machine(),
+            opened,
+            ::deliver,
+            options,
+            reopen = reopen.takeIf { reopens },
+            onFailure = onFailure,
+        )
         hosts[name] = host
         return host
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -87,6 +87,9 @@
         metrics.gauge("zinniahoist_leads", "1 while this replica leads the service group.") {
             if (host.status.isLeader) 1 else 0
         }
+        metrics.gauge("zinniahoist_replica_stopped", "1 while the replica can't use its disk or its log.") {
+            if (host.status.failure != null) 1 else 0
+        }
         thread.repeat(TICK, ::tick)
         duties.start()
         logger.info { "event=started role=core machine=${settings.machine} instance=${hello.instance}" }
@@ -108,6 +111,8 @@
 
     override fun stop() {
         logger.info { "event=stopping role=core machine=${settings.machine}" }
+        // The process may be stopped while it waits for its disk.
+        if (!::operatorServer.isInitialized) return
         host.handOver()
         runBlocking {
             delay(HAND_OVER_TIME)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ReplicaGroup.kt
@@ -1,10 +1,13 @@
 package org.zinniahoist.gateway.core
 
-import arrow.core.getOrElse
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
 import com.dynatrace.hash4j.hashing.Hashing
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.consensus.Configuration
 import org.zinniahoist.consensus.DiskFileStore
+import org.zinniahoist.consensus.FileStore
 import org.zinniahoist.consensus.GroupHost
 import org.zinniahoist.consensus.GroupStorage
 import org.zinniahoist.consensus.Member
@@ -16,6 +19,7 @@
 import org.zinniahoist.consensus.StorageError
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.settings.GatewaySettings
+import java.io.IOException
 import java.nio.file.Path
 import java.security.SecureRandom
 import kotlin.time.Duration.Companion.milliseconds
@@ -34,7 +38,12 @@
     fun seedsOf(settings: GatewaySettings): Set<InstanceName> =
         settings.seeds.map { InstanceName("${it.host}:${settings.linkPort}") }.toSet()
 
-    /** @param onFailure told once why the replica has stopped by itself. */
+    /**
+     * Opens the folder and runs its replica. While the disk fails, the folder is opened again and again.
+     *
+     * @param onFailure told once why the replica has stopped by itself for good.
+     * @throws GatewayStartFailure if the folder holds no replica that can be run.
+     */
     fun open(
         settings: GatewaySettings,
         machine: StateMachine,
@@ -42,31 +51,64 @@
         onFailure: (String) -> Unit,
     ): GroupHost {
         val instance = instanceOf(settings)
-        val folder = Path.of(checkNotNull(settings.dataFolder) { "a core needs a data folder" }).resolve(NAME)
-        val files = DiskFileStore(folder)
         val seeds = seedsOf(settings)
-        if (settings.firstStart && instance in seeds && files.list().isEmpty()) bootstrap(files, instance, seeds)
-        val opened = GroupStorage.open(files, freshIdentifier(), SEGMENT_BYTES).getOrElse { fail(it) }
         val host = GroupHost(
             NAME,
             instance,
             machine,
-            opened,
+            firstOpened(settings),
             transport,
             optionsOf(settings),
             tickInterval = TICK,
+            reopen = { openFolder(settings, isAfterFailure = true) },
             onFailure = onFailure,
         )
         host.introduce(seeds)
         return host
     }
 
+    /** The process starts once its disk takes writes; it would meet the same fault if it were started again. */
+    private fun firstOpened(settings: GatewaySettings): GroupStorage.OpenedStorage {
+        var isAfterFailure = false
+        while (true) {
+            val error = openFolder(settings, isAfterFailure).fold({ it }, { return it })
+            if (error !is StorageError.Failed) fail(error)
+            logger.error { "event=replica-not-opened group=$NAME ${error.message}" }
+            isAfterFailure = true
+            Thread.sleep(START_PAUSE.inWholeMilliseconds)
+        }
+    }
+
+    private fun openFolder(
+        settings: GatewaySettings,
+        isAfterFailure: Boolean,
+    ): Either<StorageError, GroupStorage.OpenedStorage> {
+        val folder = Path.of(checkNotNull(settings.dataFolder) { "a core needs a data folder" }).resolve(NAME)
+        return try {
+            val files = DiskFileStore(folder)
+            open(files, settings, isAfterFailure).onLeft { files.close() }
+        } catch (fault: IOException) {
+            StorageError.Failed(folder.toString(), fault).left()
+        }
+    }
+
+    private fun open(files: FileStore, settings: GatewaySettings, isAfterFailure: Boolean) = either {
+        val instance = instanceOf(settings)
+        val seeds = seedsOf(settings)
+        val isFirst = settings.firstStart && instance in seeds && files.list().isEmpty()
+        if (isFirst) bootstrap(files, instance, seeds).bind()
+        GroupStorage.open(files, freshIdentifier(), SEGMENT_BYTES, isAfterFailure).bind()
+    }
+
     /** All first replicas must begin with the same configuration, so their identifiers follow from their addresses. */
-    private fun bootstrap(files: DiskFileStore, instance: InstanceName, seeds: Set<InstanceName>) {
+    private fun bootstrap(
+        files: FileStore,
+        instance: InstanceName,
+        seeds: Set<InstanceName>,
+    ): Either<StorageError, Unit> {
         val members = seeds.sortedBy { it.value }.map { Member(ReplicaAddress(identifierOf(it), it), voter = true) }
-        GroupStorage.bootstrap(files, identifierOf(instance), Configuration(members), timeMilliseconds = 0)
-            .getOrElse { fail(it) }
-        logger.info { "event=group-bootstrapped members=${seeds.joinToString(",")}" }
+        return GroupStorage.bootstrap(files, identifierOf(instance), Configuration(members), timeMilliseconds = 0)
+            .onRight { logger.info { "event=group-bootstrapped members=${seeds.joinToString(",")}" } }
     }
 
     private fun fail(error: StorageError): Nothing = throw GatewayStartFailure(error.message)
@@ -90,6 +132,8 @@
     /** Small segments let a snapshot free the disk soon. */
     private const val SEGMENT_BYTES = 8L shl 20
 
+    private val START_PAUSE = 500.milliseconds
+
     /** A batch job is one command, and its body may have 32 MiB. */
     private const val MAXIMUM_COMMAND_BYTES = 34 shl 20
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -114,7 +114,9 @@
         // A reader on another thread must find a job that is in both states at any time.
         jobsByIdentifier.keys.retainAll(state.jobs.map { it.job.identifier }.toSet())
         state.jobs.forEach { jobsByIdentifier[it.job.identifier] = it }
+        namedVersions.keys.retainAll(state.versions.keys)
         namedVersions.putAll(state.versions)
+        retiring.keys.retainAll(state.retirements.map { it.node }.toSet())
         state.retirements.forEach { retiring[it.node] = it }
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -11,6 +11,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNull
@@ -104,6 +105,21 @@
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
     }
 
+    /** Guards against a replica that reads its log again on top of what it held before. */
+    @Test
+    fun `holds nothing after an empty state was restored`() {
+        val empty = machine.snapshot()
+        configure(7, 1)
+        submit("j")
+        apply(ServiceCommand.NameVersion(ModelName("m"), WeightVersion(3)))
+        apply(ServiceCommand.RetireInstance("store-1", InstanceName("10.0.0.1:7000")))
+        machine.restore(empty)
+        expectThat(machine.configuration).isNull()
+        expectThat(machine.jobs).isEmpty()
+        expectThat(machine.versions.keys).isEmpty()
+        expectThat(machine.retirements.keys).isEmpty()
+    }
+
     /** Guards against a restored replica that lists an item a second time. */
     @Test
     fun `lists no item again after a snapshot`() {
