--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -130,7 +130,9 @@
         val restored = state.jobs.map { it.restore() }
         jobsByIdentifier.keys.retainAll(restored.map { it.job.identifier }.toSet())
         restored.forEach { jobsByIdentifier[it.job.identifier] = it }
+        namedVersions.keys.retainAll(state.versions.keys)
         namedVersions.putAll(state.versions)
+        retiring.keys.retainAll(state.retirements.map { it.node }.toSet())
         state.retirements.forEach { retiring[it.node] = it }
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
