Core: tell replicas outside the group who belongs to it

Callers see: after several losses an entry that starts finds no leader, and the group replaces no lost voter any more, so that the next loss stops it.

Cause: who belongs to the group was told only on links that others had dialled, and replicas did not read it. A replica that was emptied asks its seeds for a place, and a follower passes the request on to its leader. Seeds lose their place like all others, when they are emptied or away for 2.5 s while there is a spare; none of them knows the leader then, and each request ends there. Entries that start know the same seeds only.

A replica that hears the leader now names the members on all its links, those that it dials itself included, and members dial the seeds. A replica that hears no leader asks the members named for a place and passes their names on to entries, until the link on which it was told closes.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -40,7 +40,11 @@
     private val peers = PeerLinks(hello, Outbound(), clock, onRefused = { host.reportStopped(it) })
 
     @Volatile
-    private var lastMembers = ServiceMessage.Members(emptyList(), leader = null)
+    private var lastMembers = KnownMembers(ServiceMessage.Members(emptyList(), leader = null), isFirstHand = false)
+
+    /** What another replica said of the members last, and the link on which it said so. */
+    @Volatile
+    private var told: Pair<LinkConnection, ServiceMessage.Members>? = null
 
     @Volatile
     private var lastUpstreams: List<ListedUpstream>? = null
@@ -68,18 +72,30 @@
         link.offer(ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
     }
 
-    /** Keeps links to the other [replicas] and tells everybody about [members] while they have a leader. */
-    fun update(replicas: Set<InstanceName>, members: ServiceMessage.Members) {
+    /** The members of the group as a replica that hears the leader named them; null if its link has closed. */
+    val membersTold: ServiceMessage.Members? get() = told?.second
+
+    /**
+     * Keeps links to the other [replicas] and tells everybody about the members: [own], if this replica hears a leader,
+     * or else what it is told. Its own log may name former members then, as it may have been replaced while it was away.
+     */
+    fun update(replicas: Set<InstanceName>, own: ServiceMessage.Members) {
         peers.keep(replicas - self)
-        if (members == lastMembers) return
-        lastMembers = members
-        logger.info { "event=members members=${members.members.joinToString(",")} leader=${members.leader}" }
-        inbound.forEach(::tellMembers)
+        val isFirstHand = own.leader != null
+        val present = KnownMembers(if (isFirstHand) own else membersTold ?: own, isFirstHand)
+        if (present == lastMembers) return
+        lastMembers = present
+        logger.info {
+            "event=members members=${present.members.members.joinToString(",")} leader=${present.members.leader}"
+        }
+        (inbound + peers.links).forEach(::tellMembers)
     }
 
-    /** A replica that hears no leader may have been replaced meanwhile, and its log names former members. */
+    /** Replicas believe only those that hear a leader, so that no word of former members goes round among them. */
     private fun tellMembers(link: LinkConnection) {
-        if (lastMembers.leader != null) link.offer(lastMembers)
+        val present = lastMembers
+        val isTold = present.isFirstHand || Role.ENTRY in link.peer.roles
+        if (isTold && present.members.leader != null) link.offer(present.members)
     }
 
     /** Tells everybody that [revision] is applied here. */
@@ -108,6 +124,7 @@
     override suspend fun onMessage(link: LinkConnection, message: Message) {
         when (message) {
             is ControlMessage.ReplicaTraffic -> receive(message)
+            is ServiceMessage.Members -> told = link to message
             is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
             is ServiceMessage.Call -> scope.launch { answer(link, message) }
             else -> Unit
@@ -133,6 +150,11 @@
 
     override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
         inbound -= link
+        forget(link)
+    }
+
+    private fun forget(link: LinkConnection) {
+        if (told?.first === link) told = null
     }
 
     fun close(): Unit = peers.close()
@@ -140,15 +162,26 @@
     private inner class Outbound : LinkHandler {
         override fun onOpen(link: LinkConnection) {
             link.offer(ServiceMessage.Machine(machineName))
+            tellMembers(link)
         }
 
         override suspend fun onMessage(link: LinkConnection, message: Message) {
-            if (message is ControlMessage.ReplicaTraffic) receive(message)
+            when (message) {
+                is ControlMessage.ReplicaTraffic -> receive(message)
+                is ServiceMessage.Members -> told = link to message
+                else -> Unit
+            }
         }
 
-        override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = Unit
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = forget(link)
     }
 
+    /** Members of the group; [isFirstHand] if this replica hears their leader. */
+    private data class KnownMembers(
+        val members: ServiceMessage.Members,
+        val isFirstHand: Boolean,
+    )
+
     private companion object {
         val logger = KotlinLogging.logger {}
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -20,7 +20,6 @@
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.FailureDomain
 import org.zinniahoist.model.Incarnation
-import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Region
@@ -77,11 +76,12 @@
     private lateinit var host: GroupHost
     private lateinit var retirements: Retirements
     private lateinit var operatorServer: Server
-    private var lastIntroduced: Pair<Set<InstanceName>, Set<InstanceName>>? = null
+    private lateinit var members: MemberFollower
 
     override fun start() {
         host = ReplicaGroup.open(settings, machine, ReplicaTransport(links::send), onFailure)
         retirements = Retirements(host, 2 * settings.toleratedLosses + 1)
+        members = MemberFollower(host, links, ReplicaGroup.seedsOf(settings))
         links.host = host
         runBlocking { linkServer.start() }
         operatorServer = startOperatorServer()
@@ -124,7 +124,7 @@
 
     private fun tick() {
         val status = host.status
-        followMembers(status)
+        members.tick(status, retiring())
         duties.tick(status)
         retirements.tick(retiring(), clock())
         memory.tick(clock()) { sizeNow(status) }
@@ -146,15 +146,6 @@
 
     private fun retiring() = machine.retirements.values.map { it.instance }.toSet()
 
-    private fun followMembers(status: GroupStatus) {
-        val members = status.configuration.members.map { it.address.instance }
-        val known = members.toSet() + ReplicaGroup.seedsOf(settings)
-        val introduced = known to retiring()
-        if (introduced != lastIntroduced) host.introduce(known, introduced.second)
-        lastIntroduced = introduced
-        links.update(known, ServiceMessage.Members(members.distinct(), status.leader))
-    }
-
     override fun onConfiguration(configuration: StoredConfiguration) {
         links.announce(configuration.revision)
         logger.info { "event=configuration-applied revision=${configuration.revision}" }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -4,6 +4,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.zinniahoist.model.InstanceName
@@ -15,6 +16,7 @@
 import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.state.service.StoredConfiguration
+import org.zinniahoist.wire.LinkCloseCause
 import org.zinniahoist.wire.ServiceMessage
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
@@ -64,4 +66,22 @@
         expectThat(entry.offered).containsExactly(known)
         expectThat(late.offered).isEmpty()
     }
+
+    /**
+     * Guards against entries that find nobody after a start: all replicas that their settings name are outside the
+     * group, so they hear no leader and know former members only.
+     */
+    @Test
+    fun `a replica that hears no leader passes on what a member told it`() {
+        val present = ServiceMessage.Members(List(3) { InstanceName("127.0.0.1:${it + 4}") }, InstanceName("127.0.0.1:4"))
+        val member = RecordedLink("127.0.0.1:4", Role.CONTROL).also(links::onOpen)
+        val entry = RecordedLink("e1", Role.ENTRY).also(links::onOpen)
+        runBlocking { links.onMessage(member, present) }
+        links.update(emptySet(), ServiceMessage.Members(former, leader = null))
+        expectThat(entry.offered).containsExactly(present)
+        expectThat(member.offered).isEmpty()
+        links.onClosed(member, LinkCloseCause.Silent)
+        links.update(emptySet(), ServiceMessage.Members(former, leader = null))
+        expectThat(RecordedLink("e2", Role.ENTRY).also(links::onOpen).offered).isEmpty()
+    }
 }
