--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreLinksTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreLinksTest.kt
@@ -21,15 +21,10 @@
 import org.zinniahoist.model.FailureDomain
 import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.InstanceName
-import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Region
 import org.zinniahoist.model.Role
-import org.zinniahoist.model.WeightVersion
-import org.zinniahoist.state.service.JobRecord
-import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
-import org.zinniahoist.state.service.StoredConfiguration
 import org.zinniahoist.wire.HeartbeatContent
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
@@ -42,14 +37,6 @@
 import java.nio.file.Path
 
 internal class CoreLinksTest {
-    private object Silent : ServiceListener {
-        override fun onConfiguration(configuration: StoredConfiguration) = Unit
-
-        override fun onJob(record: JobRecord) = Unit
-
-        override fun onVersion(model: ModelName, version: WeightVersion) = Unit
-    }
-
     /** A replica with an empty folder and its links. */
     private inner class Core(
         folder: Path,
@@ -64,7 +51,7 @@
             FailureDomain("a", Region("r")),
             setOf(Role.CONTROL),
         )
-        private val machine = ServiceStateMachine(Silent)
+        private val machine = ServiceStateMachine(SilentListener)
         val links = CoreLinks("m$number", hello, JobCalls(StubDialect(), machine) { host }, scope, ::now)
         val identifier = ReplicaIdentifier(number.toLong())
         val host: GroupHost
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -8,14 +8,9 @@
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.zinniahoist.model.InstanceName
-import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Role
-import org.zinniahoist.model.WeightVersion
-import org.zinniahoist.state.service.JobRecord
-import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
-import org.zinniahoist.state.service.StoredConfiguration
 import org.zinniahoist.wire.LinkCloseCause
 import org.zinniahoist.wire.ServiceMessage
 import strikt.api.expectThat
@@ -23,16 +18,8 @@
 import strikt.assertions.isEmpty
 
 class NamedMembersTest {
-    private object Silent : ServiceListener {
-        override fun onConfiguration(configuration: StoredConfiguration) = Unit
-
-        override fun onJob(record: JobRecord) = Unit
-
-        override fun onVersion(model: ModelName, version: WeightVersion) = Unit
-    }
-
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val jobs = JobCalls(StubDialect(), ServiceStateMachine(Silent)) { error("no replica") }
+    private val jobs = JobCalls(StubDialect(), ServiceStateMachine(SilentListener)) { error("no replica") }
     private val self = RecordedLink("127.0.0.1:1", Role.CONTROL).peer
     private val links = CoreLinks("m1", self, jobs, scope, { Moment.ZERO })
     private val former = listOf(self.instance, InstanceName("127.0.0.1:2"), InstanceName("127.0.0.1:3"))
