Core: call no job unknown while a failed replica reads its log anew

Callers would see 404 for an accepted job (LOST): a replica whose disk has failed empties its state and reads its log again in the same process. A read that was confirmed just before looked into the state on another thread, and found it empty.

What a replica lacks is now unknown only if it has led in one term from before the confirmation until after the look; else the reader gets a true 503 and asks again. The job is looked up once, not twice.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -65,10 +65,12 @@
     }
 
     private suspend fun readJob(call: ServiceCall.ReadJob): ServiceReply {
-        val identifier = JobIdentifier(call.job)
-        val first = confirmed { machine.job(identifier)?.let { ServiceReply.Done } ?: ServiceReply.NotFound }
-        if (first !is ServiceReply.Done) return first
-        val record = machine.job(identifier) ?: return ServiceReply.NotFound
+        var found: JobRecord? = null
+        val reply = confirmed {
+            found = machine.job(JobIdentifier(call.job))
+            if (found == null) ServiceReply.NotFound else ServiceReply.Done
+        }
+        val record = found ?: return reply
         if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
         awaitResult(record, call)
         return ServiceReply.Content(page(record, call.after))
@@ -102,8 +104,20 @@
     }
 
     /** Answers from a state that holds all that was acknowledged before. */
-    private suspend fun confirmed(answer: () -> ServiceReply): ServiceReply =
-        host().query(NOTHING).await().fold(::refusal) { answer() }
+    private suspend fun confirmed(answer: () -> ServiceReply): ServiceReply {
+        val term = host().status.term
+        return host().query(NOTHING).await().fold(::refusal) {
+            val reply = answer()
+            if (reply is ServiceReply.NotFound) absent(term) else reply
+        }
+    }
+
+    /** After a failure of the disk the state is emptied and read anew; a leader of the same [term] has not failed. */
+    private fun absent(term: Long): ServiceReply {
+        val status = host().status
+        val isComplete = status.isLeader && status.term == term
+        return if (isComplete) ServiceReply.NotFound else ServiceReply.Unavailable("the state is being read")
+    }
 
     /** Proposes [command]; the reply says whether it holds. */
     suspend fun propose(command: ServiceCommand): ServiceReply =
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallsTest.kt
@@ -0,0 +1,104 @@
+package org.zinniahoist.gateway.core
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.future.await
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.io.TempDir
+import org.zinniahoist.consensus.Configuration
+import org.zinniahoist.consensus.DiskFileStore
+import org.zinniahoist.consensus.GroupHost
+import org.zinniahoist.consensus.GroupStorage
+import org.zinniahoist.consensus.Member
+import org.zinniahoist.consensus.ReplicaAddress
+import org.zinniahoist.consensus.ReplicaIdentifier
+import org.zinniahoist.consensus.StateMachine
+import org.zinniahoist.model.InstanceName
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.ServiceCall
+import org.zinniahoist.wire.ServiceReply
+import strikt.api.expectThat
+import strikt.assertions.isA
+import strikt.assertions.isEqualTo
+import java.nio.file.Path
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** Calls to a replica whose log holds the job "j". */
+internal class JobCallsTest {
+    @TempDir
+    lateinit var folder: Path
+
+    private val machine = ServiceStateMachine(SilentListener)
+    private val emptyState = machine.snapshot()
+
+    /** Set where the replica is to fail once it has answered a read. */
+    @Volatile
+    private var failsAfterRead = false
+
+    /** True once the replica has failed: its state is empty, and it leads no more. */
+    @Volatile
+    private var hasFailed = false
+    private val leader by lazy { openHost("leader", voters = 1) }
+    private val follower by lazy { openHost("follower", voters = 2) }
+    private val calls = JobCalls(StubDialect(), machine) { if (hasFailed) follower else leader }
+
+    @AfterEach
+    fun close() {
+        leader.close()
+        follower.close()
+    }
+
+    private fun openHost(name: String, voters: Int): GroupHost {
+        val files = DiskFileStore(folder.resolve(name))
+        val members = (1..voters).map {
+            Member(ReplicaAddress(ReplicaIdentifier(it.toLong()), InstanceName("n$it")), voter = true)
+        }
+        GroupStorage.bootstrap(files, ReplicaIdentifier(1), Configuration(members), timeMilliseconds = 0)
+        val opened = GroupStorage.open(files, ReplicaIdentifier(1)).getOrElse { error(it.message) }
+        return GroupHost("test", InstanceName("n1"), FailingMachine(), opened, { _, _ -> })
+    }
+
+    private inner class FailingMachine : StateMachine by machine {
+        override fun query(timeMilliseconds: Long, query: ByteArray): ByteArray {
+            if (failsAfterRead) {
+                machine.restore(emptyState)
+                hasFailed = true
+            }
+            return machine.query(timeMilliseconds, query)
+        }
+    }
+
+    private suspend fun submit() {
+        withTimeout(BOUND) { while (!leader.status.isLeader) delay(1.milliseconds) }
+        val job = BatchJob(JobIdentifier("j"), "h", "/p/", emptyList())
+        leader.propose(StateCodec.encode<ServiceCommand>(ServiceCommand.SubmitJob(job))).await()
+    }
+
+    /** Guards against an accepted job that is said to be unknown while a failed replica reads its log anew. */
+    @Test
+    fun `a replica that has just lost its state does not say that a job is unknown`(): Unit = runBlocking {
+        submit()
+        failsAfterRead = true
+        expectThat(calls.answer(ServiceCall.ReadJob("j", after = 0, waitMilliseconds = 0)))
+            .isA<ServiceReply.Unavailable>()
+    }
+
+    /** Guards against readers of a job that never was, who would ask again until their time is up. */
+    @Test
+    fun `a leader says that a job is unknown`(): Unit = runBlocking {
+        submit()
+        expectThat(calls.answer(ServiceCall.ReadJob("k", after = 0, waitMilliseconds = 0))).isEqualTo(ServiceReply.NotFound)
+    }
+
+    private companion object {
+        val BOUND = 10.seconds
+    }
+}
