Link: report a link that this side closed as closed by this side

Operators can see: `link-closed` names a lost connection or the peer's goodbye for a link that this process closed itself. The test `messages, heartbeats and the goodbye arrive` failed now and then.

Cause: after its goodbye the writer still had to report the end; when its thread was held up, the reader reported the peer's answer first.

Fix: once a reason to close is set, the cause is Local whichever coroutine reports the end.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -128,8 +128,13 @@
         cause
     }
 
+    /** Ends the link. Once this side has closed it, what the peer does in answer is not the cause. */
+    private fun finish(cause: LinkCloseCause) {
+        closed.complete(if (goodbye == null) cause else LinkCloseCause.Local)
+    }
+
     private fun kotlinx.coroutines.CoroutineScope.loop(body: suspend () -> LinkCloseCause): Job = launch {
-        closed.complete(
+        finish(
             try {
                 body()
             } catch (cancelled: CancellationException) {
@@ -200,9 +205,9 @@
             }
             if (goodbye != null) closingSince = closingSince ?: now
             if (closingSince != null && now - closingSince >= limits.closeTimeout) {
-                closed.complete(LinkCloseCause.Local)
+                finish(LinkCloseCause.Local)
             }
-            if (silence.check(now)) closed.complete(LinkCloseCause.Silent)
+            if (silence.check(now)) finish(LinkCloseCause.Silent)
             delay(limits.checkInterval)
         }
     }
