Replica: apply a long log in parts

Callers saw: requests refused for want of a configuration for 0.3 to 0.5 s after the election that follows a final fault.

Cause: a step of a replica applied all that was committed. The time grows with the log, up to 20,000 entries, and would then exceed the election timeout of 0.6 s.

A step now applies 64 entries at most, and further steps follow without a wait while messages and requests are handled in between.

Evidence: 'a long log is applied in parts' counted 1,000 entries in one step on the code before. ReplicaTest, GroupHostTest and SimulationTest pass with the change (one run each).

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -147,16 +147,17 @@
         }
     }
 
-    private fun waitNanoseconds(nextTick: Moment): Long = (nextTick - clock.now()).inWholeNanoseconds.coerceAtLeast(0)
+    private fun waitNanoseconds(nextTick: Moment): Long =
+        if (replica.hasUnapplied) 0 else (nextTick - clock.now()).inWholeNanoseconds.coerceAtLeast(0)
 
     private fun step(events: List<ReplicaEvent>) {
         var next = events
-        while (next.isNotEmpty() && !stopped) {
+        do {
             val followUp = ArrayList<ReplicaEvent>()
             replica.step(clock.now(), next).forEach { carryOut(it, followUp) }
             sync(followUp)
             next = followUp
-        }
+        } while (next.isNotEmpty() && !stopped)
     }
 
     private fun carryOut(action: ReplicaAction, followUp: ArrayList<ReplicaEvent>) {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -68,6 +68,9 @@
     /** True once [configuration] is known to be committed. */
     public val isConfigurationCommitted: Boolean get() = context.log.configurationIndex <= context.commitIndex
 
+    /** True while committed entries wait to be applied; another step applies the next ones, also without events. */
+    public val hasUnapplied: Boolean get() = context.appliedIndex < context.commitIndex
+
     /** Handles [events] at the time [now] as one batch and returns the actions to carry out. */
     public fun step(now: Moment, events: List<ReplicaEvent>): List<ReplicaAction> {
         context.now = now
@@ -261,7 +264,8 @@
     }
 
     private fun applyCommitted() {
-        while (context.appliedIndex < context.commitIndex) {
+        val end = minOf(context.commitIndex, context.appliedIndex + context.options.maximumAppliedEntries)
+        while (context.appliedIndex < end) {
             val index = ++context.appliedIndex
             context.outbox.emit(ReplicaAction.Apply(context.log[index], leader?.takeProposal(index)))
         }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaOptions.kt
@@ -20,6 +20,8 @@
  * @property maximumInflightBytes bytes of commands on the way to one replica at which no more go without an answer.
  * They wait in memory at both ends, once for each replica that catches up.
  * @property maximumUncommittedEntries proposals above this number of uncommitted entries are refused.
+ * @property maximumAppliedEntries entries that one step applies. A replica that starts applies its whole log and has to
+ * answer others meanwhile.
  * @property snapshotInterval applied entries after which a snapshot is taken.
  * @property trailingEntries entries kept in memory before a snapshot, for replicas that lag a little.
  * @property memberInstances instances whose replicas may join by themselves when their folder is empty.
@@ -39,6 +41,7 @@
     public val maximumInflightAppends: Int = 32,
     public val maximumInflightBytes: Long = 4L shl 20,
     public val maximumUncommittedEntries: Int = 50_000,
+    public val maximumAppliedEntries: Int = 64,
     public val snapshotInterval: Long = 200_000,
     public val trailingEntries: Long = 10_000,
     public val memberInstances: Set<InstanceName> = emptySet(),
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -50,6 +50,22 @@
 
     private fun List<ReplicaAction>.sequence() = filterIsInstance<ReplicaAction.Persist>().last().sequence
 
+    /** Guards against a replica that answers nobody while it applies its whole log after a start. */
+    @Test
+    fun `a long log is applied in parts`() {
+        val entries = (2L..1_000).map { LogEntry(it, 1, 1_000, byteArrayOf(1)) }
+        val replica = replica(first, *entries.toTypedArray())
+        val applied = ArrayList<Long>()
+        var actions = replica.receive(1, AppendRequest(1_000, 1, emptyList(), commitIndex = 1_000, round = 0))
+        while (actions.isNotEmpty()) {
+            val part = actions.filterIsInstance<ReplicaAction.Apply>().map { it.entry.index }
+            expectThat(part.size).isLessThanOrEqualTo(MOST_APPLIED)
+            applied += part
+            actions = replica.step(now, emptyList())
+        }
+        expectThat(applied.toList()).isEqualTo((1L..1_000).toList())
+    }
+
     private fun leader(): Replica {
         val replica = replica(first)
         replica.step(ReplicaEvent.Tick, 2.seconds)
@@ -245,4 +261,9 @@
             expectThat(decoded.toString()).isEqualTo(message.toString())
         }
     }
+
+    private companion object {
+        /** A few milliseconds of work, even for a process that has just started. */
+        const val MOST_APPLIED = 100
+    }
 }
