--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
@@ -179,17 +179,18 @@
     private fun messageBytesOf(events: List<ReplicaEvent>): Long =
         events.sumOf { if (it is ReplicaEvent.Receive) it.message.payloadBytes else 0 }
 
-    private fun waitNanoseconds(nextTick: Moment): Long = (nextTick - clock.now()).inWholeNanoseconds.coerceAtLeast(0)
+    private fun waitNanoseconds(nextTick: Moment): Long =
+        if (running().hasUnapplied) 0 else (nextTick - clock.now()).inWholeNanoseconds.coerceAtLeast(0)
 
     /** Returns the failure of the disk, after which nothing more may be sent or answered. */
     private fun step(events: List<ReplicaEvent>): StorageError? {
         var next = events
-        while (next.isNotEmpty() && !stopped) {
+        do {
             val followUp = ArrayList<ReplicaEvent>()
             for (action in running().step(clock.now(), next)) carryOut(action, followUp)?.let { return it }
             sync(followUp)?.let { return it }
             next = followUp
-        }
+        } while (next.isNotEmpty() && !stopped)
         return null
     }
 
