Replica: ask for a place when only the own log names this replica a member

Callers see: a group that has had some replicas away for more than 2.5 s, each for a time of its own, finds no spare for the next lost voter; the loss after that leaves no majority, and all jobs and the configuration can't be reached.

Cause: a replica that is replaced while it is cut off or frozen comes back with a log that names it a member, and for this reason it never asked to join. Its only way back was a campaign, which the leader hears if it is among the former voters. A replica without a vote doesn't campaign and stayed outside for good.

A replica that hears no leader now asks for a place, member by its own log or not.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -129,7 +129,8 @@
     }
 
     private fun requestToJoin() {
-        if (context.log.configuration.member(address.identifier) != null) return
+        // A replica that was replaced while it was away is a member by its own log, but no leader sends it anything.
+        if (leaderAddress != null && context.log.configuration.member(address.identifier) != null) return
         if (context.now - lastJoinRequest < context.options.electionTimeout) return
         lastJoinRequest = context.now
         for (instance in joinTargets) {
