Link: let a server stop although a link does not end

Operators can see: a process that is asked to stop does not end by itself.

Cause: LinkServer.stop waits without a bound until all links have ended. A link whose handler does not return does not end, and a connection that is accepted while the server stops was not told of it, so it stays as long as its peer.

Fix: the wait ends after the times to open and to close a link, as that of a client does, and is logged as `links-left-open`; a link that is accepted late is closed with the same reason.

The late connection has no test: it was found by reading.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Moment
 import java.io.IOException
@@ -35,6 +36,9 @@
     private val sessions = ConcurrentHashMap.newKeySet<LinkSession>()
     private var server: ServerSocket? = null
 
+    @Volatile
+    private var stopReason: String? = null
+
     /** Binds the port and starts to accept. Returns the address that is bound. */
     public suspend fun start(): Endpoint {
         val bound = aSocket(Sockets.selector).tcp().bind(bind.host, bind.port) { reuseAddress = true }
@@ -43,11 +47,17 @@
         return Endpoint(bind.host, (bound.localAddress.toJavaAddress() as JavaAddress).port)
     }
 
-    /** Stops to accept and closes the open links with [reason]. Returns when their handlers have been told. */
+    /**
+     * Stops to accept and closes the open links with [reason]. Returns when their handlers have been told, or when the
+     * times to open and to close a link have passed: a handler that does not return must not keep the process.
+     */
     public suspend fun stop(reason: String) {
+        stopReason = reason
         server?.close()
         sessions.forEach { it.close(reason) }
-        while (sessions.isNotEmpty()) delay(STOP_CHECK)
+        withTimeoutOrNull(limits.openTimeout + limits.closeTimeout * 2) {
+            while (sessions.isNotEmpty()) delay(STOP_CHECK)
+        } ?: logger.warn { "event=links-left-open links=${sessions.size}" }
         scope.cancel()
     }
 
@@ -73,6 +83,8 @@
     private suspend fun serve(socket: Socket) {
         val session = LinkSession(FrameChannel(socket, limits.maximumFrameBytes), end)
         sessions += session
+        // A connection that was accepted while the server stops is not among those that were told.
+        stopReason?.let(session::close)
         try {
             session.run()
         } finally {
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
@@ -1,21 +1,26 @@
 package org.zinniahoist.wire
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Revision
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
 import kotlin.random.Random
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 class LinkEndTest {
@@ -55,6 +60,25 @@
         expectThat(sent.orEmpty().count { !it }).isGreaterThanOrEqualTo(3)
     }
 
+    /** Guards against a process that does not stop because a handler hangs. */
+    @Test
+    fun `a server stops although a handler does not return`(): Unit = runBlocking {
+        val begun = CompletableDeferred<Unit>()
+        val gate = CompletableDeferred<Unit>()
+        val hanging = RecordingHandler {
+            begun.complete(Unit)
+            withContext(NonCancellable) { gate.await() }
+        }
+        val limits = LinkLimits(openTimeout = 200.milliseconds, closeTimeout = 100.milliseconds)
+        val (server, peer) = serve(hanging, limits)
+        peer.greet()
+        peer.send(ControlMessage.Subscribe(Revision(1)))
+        begun.await()
+        val stopped = withTimeoutOrNull(WAIT) { server.stop("planned") }
+        gate.complete(Unit)
+        expectThat(stopped).isEqualTo(Unit)
+    }
+
     private companion object {
         val WAIT = 10.seconds
     }
