Link: keep accepting after any exception of the socket

Operators can see: a stack of an uncaught CancelledKeyException when a process closes its links. While a server is open, an exception other than an IOException would end the accepting loop in a process that goes on; that was not seen.

Cause: Ktor 3.3.0 answers accept with a CancelledKeyException, which is no IOException, when the socket closes at that moment, and the loop caught IOExceptions only.

Fix: only the end of the server ends the loop, as LinkClient has it.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
@@ -11,13 +11,14 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.currentCoroutineContext
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Moment
-import java.io.IOException
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 import java.net.InetSocketAddress as JavaAddress
@@ -72,9 +73,11 @@
             try {
                 val socket = bound.accept()
                 scope.launch { serve(socket) }
-            } catch (fault: IOException) {
+            } catch (fault: Exception) {
+                // A socket that closes shows as exceptions of several types; only the end of the server ends the loop.
+                currentCoroutineContext().ensureActive()
                 if (bound.isClosed) return
-                logger.warn { "event=accept-failed detail=\"${fault.message}\"" }
+                logger.warn { "event=accept-failed detail=\"$fault\"" }
                 delay(ACCEPT_PAUSE)
             }
         }
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
@@ -16,9 +17,11 @@
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.Revision
 import strikt.api.expectThat
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isGreaterThanOrEqualTo
+import java.util.concurrent.ConcurrentLinkedQueue
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -79,7 +82,24 @@
         expectThat(stopped).isEqualTo(Unit)
     }
 
+    /** Guards against an accepting loop that ends with an exception which is not of the type that it expects. */
+    @Test
+    fun `a server that closes while it accepts throws nothing`(): Unit = runBlocking {
+        val uncaught = ConcurrentLinkedQueue<Throwable>()
+        val before = Thread.getDefaultUncaughtExceptionHandler()
+        Thread.setDefaultUncaughtExceptionHandler { _, fault -> uncaught += fault }
+        try {
+            repeat(SERVERS) { serve(handler, LinkLimits()).first.close() }
+            delay(500.milliseconds)
+        } finally {
+            Thread.setDefaultUncaughtExceptionHandler(before)
+        }
+        expectThat(uncaught.toList()).isEmpty()
+    }
+
     private companion object {
+        /** Of so many servers that close at once, about ten close while a connection is accepted. */
+        const val SERVERS = 3_000
         val WAIT = 10.seconds
     }
 }
