--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallsTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallsTest.kt
@@ -95,7 +95,9 @@
     @Test
     fun `a leader says that a job is unknown`(): Unit = runBlocking {
         submit()
-        expectThat(calls.answer(ServiceCall.ReadJob("k", after = 0, waitMilliseconds = 0))).isEqualTo(ServiceReply.NotFound)
+        expectThat(
+            calls.answer(ServiceCall.ReadJob("k", after = 0, waitMilliseconds = 0)),
+        ).isEqualTo(ServiceReply.NotFound)
     }
 
     private companion object {
