--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryStopTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryStopTest.kt
@@ -23,7 +23,7 @@
         }
     }
 
-    /** Guards against requests that have reached an upstream and lose their connection when the time to stop is over. */
+    /** Guards against requests that are passed on and lose their connection when the time to stop is over. */
     @Test
     fun `an entry that is never without a request breaks none when it stops`(): Unit =
         expectNothingLost(connections = 32, work = 300.milliseconds, longestPause = 10.milliseconds)
