--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -36,7 +36,6 @@
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
-import org.zinniahoist.wire.ServiceMessage
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -73,7 +73,12 @@
      */
     @Test
     fun `a replica that hears no leader passes on what a member told it`() {
-        val present = ServiceMessage.Members(List(3) { InstanceName("127.0.0.1:${it + 4}") }, InstanceName("127.0.0.1:4"))
+        val present = ServiceMessage.Members(
+            List(3) {
+                InstanceName("127.0.0.1:${it + 4}")
+            },
+            InstanceName("127.0.0.1:4"),
+        )
         val member = RecordedLink("127.0.0.1:4", Role.CONTROL).also(links::onOpen)
         val entry = RecordedLink("e1", Role.ENTRY).also(links::onOpen)
         runBlocking { links.onMessage(member, present) }
