Core: tell no entry that its list is unchanged unless it holds that list

Callers see requests that go to upstreams that are leaving or gone, and none that go to new ones, until the platform's list changes again.

Cause: one replica remembered the list that it sent last, for all entries and all leaderships together. An entry whose queue was full missed a change, and was told each second afterwards that its list is unchanged. A list whose reading ended after the leadership, as that of a frozen leader, was still sent, replaced newer ones, and was given to each entry that connected later; the present leader says only that its own list is unchanged. The list of a leadership that ended before its fence was drawn was never forgotten.

UpstreamPublisher remembers for each link what the link took. A replica that doesn't lead forgets at each tick.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -7,7 +7,6 @@
 import org.zinniahoist.consensus.ReplicaMessage
 import org.zinniahoist.gateway.link.PeerLinks
 import org.zinniahoist.model.InstanceName
-import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
@@ -46,8 +45,8 @@
     @Volatile
     private var told: Pair<LinkConnection, ServiceMessage.Members>? = null
 
-    @Volatile
-    private var lastUpstreams: List<ListedUpstream>? = null
+    /** Sends the platform's list to the entries. */
+    val upstreams = UpstreamPublisher()
 
     /** The replica that messages are for; set before links are accepted. */
     lateinit var host: GroupHost
@@ -101,24 +100,10 @@
     /** Tells everybody that [revision] is applied here. */
     fun announce(revision: Revision) = inbound.forEach { it.offer(ServiceMessage.Configured(revision)) }
 
-    /** Sends the platform's list to the entries. */
-    fun publish(entries: List<ListedUpstream>) {
-        val message = ServiceMessage.Upstreams(entries.takeIf { it != lastUpstreams })
-        lastUpstreams = entries
-        entryLinks().forEach { it.offer(message) }
-    }
-
-    /** Forgets the list that was sent last, because another replica reads it from now on. */
-    fun stopPublishing() {
-        lastUpstreams = null
-    }
-
-    private fun entryLinks() = inbound.filter { Role.ENTRY in it.peer.roles }
-
     override fun onOpen(link: LinkConnection) {
         inbound += link
         tellMembers(link)
-        lastUpstreams?.let { link.offer(ServiceMessage.Upstreams(it)) }
+        upstreams.onOpen(link)
     }
 
     override suspend fun onMessage(link: LinkConnection, message: Message) {
@@ -150,6 +135,7 @@
 
     override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
         inbound -= link
+        upstreams.onClosed(link)
         forget(link)
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -68,6 +68,7 @@
 
     /** Does what is due. Runs on the engine's thread. */
     fun tick(status: GroupStatus) {
+        if (!status.isLeader) links.upstreams.stop()
         carryOut(leadership.onStatus(status.isLeader, status.term))
         if (!leadership.isActive) return
         engine.tick()
@@ -95,7 +96,6 @@
         orders.right = null
         engine.deactivate()
         loader.clear()
-        links.stopPublishing()
         val status = host().status
         logger.info { "event=jobs-released term=${status.term} leader=${status.leader}" }
     }
@@ -126,22 +126,23 @@
 
     private suspend fun readList() {
         while (true) {
-            if (host().status.isLeader) readListOnce()
+            val reading = links.upstreams.begin(clock())
+            if (host().status.isLeader) readListOnce(reading)
             delay(if (host().status.isLeader) LIST_INTERVAL else LEADER_CHECK)
         }
     }
 
     /** A list that can't be read must not be the last one that is asked for. */
-    private suspend fun readListOnce() = try {
-        listReader.read()?.let(::onList) ?: Unit
+    private suspend fun readListOnce(reading: UpstreamPublisher.Reading) = try {
+        listReader.read()?.let { onList(reading, it) } ?: Unit
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (fault: Exception) {
         logger.error(fault) { "event=list-reading-failed" }
     }
 
-    private fun onList(entries: List<ListedUpstream>) {
-        links.publish(entries)
+    private fun onList(reading: UpstreamPublisher.Reading, entries: List<ListedUpstream>) {
+        links.upstreams.publish(reading, entries, clock())
         thread.post { engine.relist(entries) }
     }
 
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UpstreamPublisherTest.kt
@@ -0,0 +1,77 @@
+package org.zinniahoist.gateway.core
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Role
+import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.wire.ServiceMessage
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class UpstreamPublisherTest {
+    private val publisher = UpstreamPublisher()
+    private val list = listOf(upstream("a"), upstream("b"))
+    private val shorter = list.take(1)
+
+    private fun upstream(identity: String) = ListedUpstream(
+        UpstreamIdentity(identity),
+        ServiceName("drafts"),
+        Endpoint("127.0.0.1", 80),
+        failureDomain = "a",
+        slots = 1,
+        isLeaving = false,
+    )
+
+    private fun entry(name: String) = RecordedLink(name, Role.ENTRY).also(publisher::onOpen)
+
+    private fun publish(entries: List<ListedUpstream>) = publisher.publish(publisher.begin(NOW), entries, NOW)
+
+    private fun news(entries: List<ListedUpstream>?) = ServiceMessage.Upstreams(entries)
+
+    /**
+     * Guards against requests to upstreams that are gone: an entry whose queue was full missed a change, and was told
+     * each second afterwards that its list is still right.
+     */
+    @Test
+    fun `an entry that missed a list gets it with the next reading`() {
+        val entry = entry("e1")
+        val other = entry("e2")
+        publish(list)
+        entry.isFull = true
+        publish(shorter)
+        entry.isFull = false
+        publish(shorter)
+        expectThat(entry.offered).containsExactly(news(list), news(shorter))
+        expectThat(other.offered).containsExactly(news(list), news(shorter), news(null))
+    }
+
+    /** Guards against entries that take over the list that a former leader read before it lost its place. */
+    @Test
+    fun `a list that was read before the end of a leadership is not sent`() {
+        val entry = entry("e1")
+        val reading = publisher.begin(NOW)
+        publisher.stop()
+        publisher.publish(reading, list, NOW)
+        expectThat(entry.offered + entry("e2").offered).isEmpty()
+    }
+
+    /** Guards against the same by a leader that was frozen while it read, and does not know yet that it was replaced. */
+    @Test
+    fun `a list that took long to read is not sent`() {
+        val entry = entry("e1")
+        publisher.publish(publisher.begin(NOW), list, NOW + 7.seconds)
+        expectThat(entry.offered + entry("e2").offered).isEmpty()
+        publisher.publish(publisher.begin(NOW), list, NOW + 500.milliseconds)
+        expectThat(entry.offered).containsExactly(news(list))
+    }
+
+    private companion object {
+        val NOW = Moment.ZERO
+    }
+}
