--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -9,15 +9,19 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
 
 /** Told of changes by the thread of the replica; must not block. */
 public interface ServiceListener {
     /** A configuration with a higher revision is in force. */
     public fun onConfiguration(configuration: StoredConfiguration)
 
-    /** [record] was accepted, got results or was ended. */
+    /** [record] was accepted, restored or ended. */
     public fun onJob(record: JobRecord)
 
+    /** [record] got results. A replica that starts is told of all results of its log, one after the other. */
+    public fun onResults(record: JobRecord)
+
     /** The newest weights of a model are named. */
     public fun onVersion(model: ModelName, version: WeightVersion)
 }
@@ -26,10 +30,12 @@
  * Configuration, named versions of weights, batch jobs with their results, and fencing tokens.
  *
  * @param retention time after its submission for which a job and its results are kept.
+ * @param endedRetention the same for a job that its trainer has ended.
  */
 public class ServiceStateMachine(
     private val listener: ServiceListener,
     private val retention: Duration = DEFAULT_RETENTION,
+    private val endedRetention: Duration = DEFAULT_ENDED_RETENTION,
 ) : StateMachine {
     private val jobsByIdentifier = ConcurrentHashMap<JobIdentifier, JobRecord>()
     private val namedVersions = ConcurrentHashMap<ModelName, WeightVersion>()
@@ -63,8 +69,8 @@
             is ServiceCommand.AcceptConfiguration -> accept(StoredConfiguration(command.revision, command.document))
             is ServiceCommand.NameVersion -> name(command)
             is ServiceCommand.SubmitJob -> submit(command.job, timeMilliseconds)
-            is ServiceCommand.RecordResults -> return change(command.job) { it.list(command.results, bytes) }
-            is ServiceCommand.EndJob -> return change(command.job) { it.end() }
+            is ServiceCommand.RecordResults -> return record(command, bytes)
+            is ServiceCommand.EndJob -> return end(command.job)
             is ServiceCommand.RetireInstance -> retiring[command.node] = Retirement(command.node, command.instance)
             is ServiceCommand.DrawFence -> return ServiceAnswer.Fence(FencingToken(index))
         }
@@ -91,16 +97,24 @@
         listener.onJob(record)
     }
 
-    private fun change(identifier: JobIdentifier, block: (JobRecord) -> Unit): ServiceAnswer {
+    private fun record(command: ServiceCommand.RecordResults, bytes: ByteArray): ServiceAnswer {
+        val record = jobsByIdentifier[command.job] ?: return ServiceAnswer.UnknownJob
+        record.list(command.results, bytes)
+        listener.onResults(record)
+        return ServiceAnswer.Done
+    }
+
+    private fun end(identifier: JobIdentifier): ServiceAnswer {
         val record = jobsByIdentifier[identifier] ?: return ServiceAnswer.UnknownJob
-        block(record)
+        record.end()
         listener.onJob(record)
         return ServiceAnswer.Done
     }
 
     private fun expire(timeMilliseconds: Long) {
         val oldest = timeMilliseconds - retention.inWholeMilliseconds
-        jobsByIdentifier.values.removeIf { it.submittedMilliseconds < oldest }
+        val oldestEnded = timeMilliseconds - endedRetention.inWholeMilliseconds
+        jobsByIdentifier.values.removeIf { it.submittedMilliseconds < if (it.isEnded) oldestEnded else oldest }
     }
 
     /** Answers nothing; a query only confirms that what was acknowledged before it is applied here. */
@@ -116,7 +130,9 @@
         val restored = state.jobs.map { it.restore() }
         jobsByIdentifier.keys.retainAll(restored.map { it.job.identifier }.toSet())
         restored.forEach { jobsByIdentifier[it.job.identifier] = it }
+        namedVersions.keys.retainAll(state.versions.keys)
         namedVersions.putAll(state.versions)
+        retiring.keys.retainAll(state.retirements.map { it.node }.toSet())
         state.retirements.forEach { retiring[it.node] = it }
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
@@ -125,7 +141,13 @@
     }
 
     public companion object {
-        /** Several times the two minutes for which trainers read results, as the leaders' clocks may jump. */
+        /** Longer than any job stays open. */
         public val DEFAULT_RETENTION: Duration = 10.minutes
+
+        /**
+         * The two minutes for which trainers read results, and the difference of two leaders' clocks, each of which may
+         * be off by 6 s in either direction.
+         */
+        public val DEFAULT_ENDED_RETENTION: Duration = 150.seconds
     }
 }
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -11,8 +11,10 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
+import strikt.assertions.isNotNull
 import strikt.assertions.isNull
 import strikt.assertions.isTrue
 import kotlin.concurrent.thread
@@ -23,6 +25,8 @@
 
         override fun onJob(record: JobRecord) = Unit
 
+        override fun onResults(record: JobRecord) = Unit
+
         override fun onVersion(model: ModelName, version: WeightVersion) = Unit
     }
 
@@ -36,14 +40,41 @@
         apply(ServiceCommand.AcceptConfiguration(Revision(revision), byteArrayOf(content.toByte())))
 
     private fun submit(name: String, time: Long = 0): ServiceAnswer {
-        val items = listOf("a", "b").map { BatchItem(RequestIdentifier(it), "/p", emptyList(), byteArrayOf(1), 10) }
-        return apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(name), "h", "/p/", items)), time)
+        val job = BatchJob(JobIdentifier(name), "h", "/p/", listOf(item("a"), item("b")))
+        return apply(ServiceCommand.SubmitJob(job), time)
     }
 
+    private fun item(name: String) = BatchItem(RequestIdentifier(name), "/p", emptyList(), byteArrayOf(1), 10)
+
     private fun record(item: String, output: String) = apply(
         ServiceCommand.RecordResults(JobIdentifier("j"), listOf(ItemResult(RequestIdentifier(item), true, output))),
     )
 
+    /** Guards against a replica that handles each result of its log as a change of the job when it starts. */
+    @Test
+    fun `tells of results apart from the begin and the end of a job`() {
+        val told = ArrayList<String>()
+        val listener = object : ServiceListener by Silent {
+            override fun onJob(record: JobRecord) {
+                told += if (record.isEnded) "ended" else "accepted"
+            }
+
+            override fun onResults(record: JobRecord) {
+                told += "results ${record.results.size}"
+            }
+        }
+        val job = BatchJob(JobIdentifier("j"), "h", "/p/", listOf(item("a"), item("b")))
+        val machine = ServiceStateMachine(listener)
+        val results = listOf("a", "b").map { ItemResult(RequestIdentifier(it), true, "text") }
+        val commands = listOf(ServiceCommand.SubmitJob(job)) +
+            results.map { ServiceCommand.RecordResults(job.identifier, listOf(it)) } +
+            ServiceCommand.EndJob(job.identifier)
+        commands.forEachIndexed { i, command ->
+            machine.apply(i + 1L, 0, StateCodec.encode<ServiceCommand>(command))
+        }
+        expectThat(told).containsExactly("accepted", "results 1", "results 2", "ended")
+    }
+
     /** Guards against an older or equal revision that replaces the one in force. */
     @Test
     fun `keeps the configuration with the highest revision and its first content`() {
@@ -104,6 +135,21 @@
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
     }
 
+    /** Guards against a replica that reads its log again on top of what it held before. */
+    @Test
+    fun `holds nothing after an empty state was restored`() {
+        val empty = machine.snapshot()
+        configure(7, 1)
+        submit("j")
+        apply(ServiceCommand.NameVersion(ModelName("m"), WeightVersion(3)))
+        apply(ServiceCommand.RetireInstance("store-1", InstanceName("10.0.0.1:7000")))
+        machine.restore(empty)
+        expectThat(machine.configuration).isNull()
+        expectThat(machine.jobs).isEmpty()
+        expectThat(machine.versions.keys).isEmpty()
+        expectThat(machine.retirements.keys).isEmpty()
+    }
+
     /** Guards against a restored replica that lists an item a second time. */
     @Test
     fun `lists no item again after a snapshot`() {
@@ -177,6 +223,27 @@
         expectThat(machine.jobs).hasSize(1)
     }
 
+    /** Guards against a leader whose heap fills with the results of jobs that nobody reads any more. */
+    @Test
+    fun `forgets an ended job when its results are no longer asked for`() {
+        submit("j", time = 0)
+        apply(ServiceCommand.EndJob(JobIdentifier("j")), time = 1)
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 151_000)
+        expectThat(machine.job(JobIdentifier("j"))).isNull()
+    }
+
+    /** Guards against a 404 for a job that its trainer may still read while the clocks of leaders differ. */
+    @Test
+    fun `keeps an ended job while its trainer may read it, and an open job longer`() {
+        submit("j", time = 0)
+        submit("open", time = 0)
+        apply(ServiceCommand.EndJob(JobIdentifier("j")), time = 1)
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 135_000)
+        expectThat(machine.job(JobIdentifier("j"))).isNotNull()
+        apply(ServiceCommand.EndJob(JobIdentifier("k")), time = 500_000)
+        expectThat(machine.job(JobIdentifier("open"))).isNotNull()
+    }
+
     private companion object {
         val LONG_TEXT = (1..600).joinToString("\n") { "event $it of a text" }
     }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -76,7 +76,7 @@
         try {
             cause = serve()
         } finally {
-            queue.close()
+            queue.cancel()
             frames.close()
             logger.info { "event=link-closed peer=${peer.instance} cause=\"$cause\"" }
             end.handler.onClosed(this, cause)
@@ -87,8 +87,7 @@
     private suspend fun greet(): String? = try {
         frames.write(encode(end.hello))
         frames.flush()
-        val first = frames.read()
-        silence.onFrame(end.clock())
+        val first = readMessage()
         when {
             first !is LinkMessage.Hello -> "first message is no hello"
             first.protocolVersion != end.hello.protocolVersion -> refuseVersion(first)
@@ -112,14 +111,20 @@
             launch { watch() },
         )
         val cause = closed.await()
-        queue.close()
+        // Nobody takes frames from here on. Closing the queue alone would leave waiting senders waiting for ever.
+        queue.cancel()
         frames.close()
         loops.forEach { it.cancelAndJoin() }
         cause
     }
 
+    /** Ends the link. Once this side has closed it, what the peer does in answer is not the cause. */
+    private fun finish(cause: LinkCloseCause) {
+        closed.complete(if (goodbye == null) cause else LinkCloseCause.Local)
+    }
+
     private fun kotlinx.coroutines.CoroutineScope.loop(body: suspend () -> LinkCloseCause): Job = launch {
-        closed.complete(
+        finish(
             try {
                 body()
             } catch (cancelled: CancellationException) {
@@ -167,8 +172,7 @@
 
     private suspend fun read(): LinkCloseCause {
         while (true) {
-            val message = frames.read()
-            silence.onFrame(end.clock())
+            val message = readMessage()
             if (message is LinkMessage.Goodbye) return LinkCloseCause.Goodbye(message.reason)
             if (message is LinkMessage.Hello) throw FrameException("second hello")
             if (message is LinkMessage.Heartbeat) lastHeartbeatReceived = message.sequence
@@ -178,6 +182,8 @@
         }
     }
 
+    private suspend fun readMessage(): Message = frames.read { silence.onProgress(end.clock()) }
+
     private suspend fun watch() {
         var nextHeartbeat = end.clock()
         var sequence = 0L
@@ -190,9 +196,9 @@
             }
             if (goodbye != null) closingSince = closingSince ?: now
             if (closingSince != null && now - closingSince >= limits.closeTimeout) {
-                closed.complete(LinkCloseCause.Local)
+                finish(LinkCloseCause.Local)
             }
-            if (silence.check(now)) closed.complete(LinkCloseCause.Silent)
+            if (silence.check(now)) finish(LinkCloseCause.Silent)
             delay(limits.checkInterval)
         }
     }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -1,8 +1,11 @@
 package org.zinniahoist.wire
 
+import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ChannelResult
 import kotlinx.coroutines.channels.ClosedSendChannelException
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.ensureActive
 import kotlinx.coroutines.selects.SelectClause1
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
@@ -12,7 +15,7 @@
     maximumFrames: Int,
     private val maximumBytes: Long,
 ) {
-    private val channel = Channel<ByteArray>(maximumFrames)
+    private val channel = Channel<ByteArray>(maximumFrames, onUndeliveredElement = { uncount(it.size) })
     private val frames = AtomicInteger()
     private val bytes = AtomicLong()
 
@@ -21,19 +24,22 @@
 
     val unsent: UnsentFrames get() = UnsentFrames(frames.get(), bytes.get())
 
-    /** Suspends while the queue is full. Returns false if it is closed. */
+    /** Suspends while the queue is full. Returns false if it is closed or cancelled. */
     suspend fun send(frame: ByteArray): Boolean {
         count(frame)
         return try {
             channel.send(frame)
             true
         } catch (_: ClosedSendChannelException) {
-            uncount(frame.size)
+            false
+        } catch (_: CancellationException) {
+            // The end of the link cancels the queue, which is no reason to cancel the sender.
+            currentCoroutineContext().ensureActive()
             false
         }
     }
 
-    /** Returns false if the queue is full or closed. A frame of any size has a place while less than the limit waits. */
+    /** Returns false if the queue is full or closed. While less than the limit waits, a frame of any size has a place. */
     fun offer(frame: ByteArray): Boolean {
         if (bytes.get() >= maximumBytes) return false
         count(frame)
@@ -58,10 +64,16 @@
         taken = NOTHING
     }
 
+    /** Takes no more frames; those that are queued are still written. */
     fun close() {
         channel.close()
     }
 
+    /** Takes no more frames, drops those that are queued, and resumes the senders that wait. */
+    fun cancel() {
+        channel.cancel()
+    }
+
     private fun count(frame: ByteArray) {
         frames.incrementAndGet()
         bytes.addAndGet(frame.size.toLong())
--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
@@ -218,6 +218,24 @@
             advance(peer, 1_250.milliseconds)
         }
 
+        /** Guards against links that are closed while a frame arrives that takes longer than the limit. */
+        @Test
+        fun `a peer is not silent while a long frame arrives`(): Unit = runBlocking {
+            val (_, endpoint) = serve()
+            val peer = peer(endpoint).apply { greet() }
+            serverHandler.opened.receive()
+            peer.readHeartbeat()
+            val chunks = FrameCodec.encode(ControlMessage.ReplicaTraffic("g", ByteArray(80_000))).toList()
+                .chunked(RawPeer.CONFIRMED_BYTES) { it.toByteArray() }
+            chunks.dropLast(1).forEach {
+                peer.chunk(it)
+                peer.readConfirmation()
+                advance(peer, 1_250.milliseconds)
+            }
+            peer.frame(chunks.last())
+            expectThat(withTimeoutOrNull(WAIT) { serverHandler.next() }).isA<ControlMessage.ReplicaTraffic>()
+        }
+
         private fun advance(peer: RawPeer, duration: Duration) {
             clock.advance(duration)
             peer.readHeartbeat()
