Engine: follow the routes with the items of jobs that were begun

Callers can see items run by a service from which the operator has moved their route, or on a route that was removed, for as long as the job is open.

Cause: the service of an item was drawn once, when its job was begun. A change of the routes reached only jobs that were begun later.

When the routes change, a job whose route is gone, or no longer leads to a service that its items may have drawn, is withdrawn: its runs end, their text is kept. It is begun again under the route in force, or waits for one. Other changes of a route leave its runs alone, and a configuration that can't be read takes none away.

Evidence: 'runs nothing of a job whose route was removed, and goes on when it comes back' and 'runs items at the service to which their route was moved' in BatchEngineTest failed on the code before. The tests of ages over a change of routes or of the leader passed before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -9,7 +9,9 @@
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.CancelledJob
 import org.zinniahoist.policy.dispatch.DispatchAction
 import org.zinniahoist.policy.dispatch.ItemDispatcher
 import org.zinniahoist.policy.dispatch.ItemKey
@@ -49,8 +51,8 @@
     private val ages = JobAges()
     private val planner = JobPlanner(machine, ages, wallMilliseconds, random)
 
-    /** Jobs whose items were given to the dispatcher. */
-    private val begun = HashSet<JobIdentifier>()
+    /** Jobs whose items were given to the dispatcher, with the services to which their route allowed these to go. */
+    private val begun = HashMap<JobIdentifier, Set<ServiceName>>()
 
     /** Open jobs without a route, each of which is reported once. */
     private val unrouted = HashSet<JobIdentifier>()
@@ -59,6 +61,11 @@
 
     /** The routes in force, or null before the first configuration. */
     var routes: RouteTable? = null
+        set(value) {
+            field = value
+            // A configuration that can't be read takes no routes away.
+            if (isActive && value != null) withdrawUnrouted()
+        }
 
     fun relist(entries: List<ListedUpstream>) = board.relist(entries)
 
@@ -117,7 +124,7 @@
         val identifiers = open.map { it.job.identifier }.toSet()
         identifiers.forEach { ages.learn(it, now) }
         ages.retain(identifiers)
-        (begun - identifiers).forEach(::end)
+        (begun.keys - identifiers).forEach(::end)
         open.sortedBy { it.submittedMilliseconds }.forEach { beginGuarded(it, now) }
     }
 
@@ -139,7 +146,7 @@
         val route = routeOf(record) ?: return
         unrouted.remove(job.identifier)
         val plan = planner.plan(record, route, open, now)
-        val isFirst = begun.add(job.identifier)
+        val isFirst = begun.put(job.identifier, route.services) == null
         logger.info {
             "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} step=${job.step?.step} " +
                 "items=${job.items.size} open=${open.size} reused=${plan.reused.size} " +
@@ -160,13 +167,32 @@
         return route
     }
 
-    private fun end(job: JobIdentifier) {
+    /** Takes back the items that the routes no longer allow to go where they were placed. */
+    private fun withdrawUnrouted() {
+        val withdrawn = begun.filter { (job, services) ->
+            val route = machine.job(job)?.let { routeOf(it) }
+            route == null || !route.services.containsAll(services)
+        }
+        for (job in withdrawn.keys) {
+            val cancelled = withdraw(job)
+            logger.info { "event=job-withdrawn job=$job unfinished=${cancelled.texts.size}" }
+        }
+        if (withdrawn.isNotEmpty()) nextReconciliation = null
+    }
+
+    /** Ends the runs of [job] and keeps the text of its unfinished items. */
+    private fun withdraw(job: JobIdentifier): CancelledJob {
         begun.remove(job)
         val cancelled = dispatcher.cancelJob(job.value)
         planner.keep(cancelled.texts)
+        carryOut(cancelled.aborts)
+        return cancelled
+    }
+
+    private fun end(job: JobIdentifier) {
+        val cancelled = withdraw(job)
         val unlisted = recorder.forget(job)
         planner.keepResults(unlisted)
-        carryOut(cancelled.aborts)
         logger.info { "event=job-ended job=$job unfinished=${cancelled.texts.size} unlisted=${unlisted.size}" }
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -45,6 +45,78 @@
         expectThat(fixture.eventually { fixture.proposed.any { it.isCompleted } }).isTrue()
     }
 
+    /** Guards against runs on a route that the operator has removed. */
+    @Test
+    fun `runs nothing of a job whose route was removed, and goes on when it comes back`() {
+        fixture.answersEnd = false
+        fixture.routes(EngineFixture.route())
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually { fixture.asked.isNotEmpty() }).isTrue()
+        fixture.routes()
+        val runs = fixture.asked.size
+        expectThat(fixture.eventually(limit = 4.seconds) { fixture.asked.size > runs }).isFalse()
+        expectThat(fixture.proposed).isEmpty()
+        fixture.answersEnd = true
+        fixture.routes(EngineFixture.route())
+        expectThat(fixture.eventually { fixture.proposed.any { it.isCompleted } }).isTrue()
+    }
+
+    /** Guards against runs by the service from which the operator has moved a route. */
+    @Test
+    fun `runs items at the service to which their route was moved`() {
+        fixture.routes(EngineFixture.route().copy(shares = EngineFixture.NO_UPSTREAMS))
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.asked.isNotEmpty() }).isFalse()
+        fixture.routes(EngineFixture.route())
+        expectThat(fixture.eventually { fixture.proposed.any { it.isCompleted } }).isTrue()
+    }
+
+    /** Guards against runs that are broken off by a configuration that changes nothing for them. */
+    @Test
+    fun `goes on with its runs when a configuration keeps their service`() {
+        fixture.answersEnd = false
+        fixture.routes(EngineFixture.route())
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        expectThat(fixture.eventually { fixture.asked.isNotEmpty() }).isTrue()
+        fixture.routes(EngineFixture.route(keep = 50.seconds))
+        expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.asked.size > 1 }).isFalse()
+    }
+
+    /** Guards against an age that begins anew when a route comes back: the item would be kept beyond its time. */
+    @Test
+    fun `gives up an item in its time though its route was away`() {
+        val route = EngineFixture.route(keep = 40.seconds).copy(shares = EngineFixture.NO_UPSTREAMS)
+        fixture.routes(route)
+        fixture.activate()
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.pass(100.milliseconds)
+        fixture.advance = 20.seconds
+        fixture.routes()
+        fixture.pass(100.milliseconds)
+        fixture.advance = 30.seconds
+        fixture.routes(route)
+        expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.proposed.isNotEmpty() }).isFalse()
+        fixture.advance = 41.seconds
+        expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
+    }
+
+    /** Guards against an age that is lost with the leadership: an item may be given up late, never early. */
+    @Test
+    fun `keeps the ages of jobs over a change of leader`() {
+        fixture.routes(EngineFixture.route(keep = 40.seconds).copy(shares = EngineFixture.NO_UPSTREAMS))
+        fixture.submit("j", EngineFixture.item("a"))
+        fixture.activate()
+        fixture.advance = 30.seconds
+        fixture.deactivate()
+        fixture.activate()
+        expectThat(fixture.eventually(limit = 500.milliseconds) { fixture.proposed.isNotEmpty() }).isFalse()
+        fixture.advance = 41.seconds
+        expectThat(fixture.eventually { fixture.proposed.size == 1 }).isTrue()
+    }
+
     /** Guards against an accepted job that nobody runs because the word of it was lost. */
     @Test
     fun `begins a job of which it was not told`() {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -42,7 +42,11 @@
     /** Upstreams to which one request may be sent. */
     public val maximumAttempts: Int,
     public val batch: BatchTerms? = null,
-)
+) {
+    /** Services to which requests of the route may go. */
+    public val services: Set<ServiceName>
+        get() = shares.filter { it.weight > 0 }.mapTo(LinkedHashSet()) { it.service }
+}
 
 /** Terms of a route for batch jobs. */
 public data class BatchTerms(
