Link test: close each peer with its server

The test of servers that close while they accept held a connection open for each of its 3,000 servers until its end, which a machine with few descriptors does not allow.

--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkEndTest.kt
@@ -89,7 +89,7 @@
         val before = Thread.getDefaultUncaughtExceptionHandler()
         Thread.setDefaultUncaughtExceptionHandler { _, fault -> uncaught += fault }
         try {
-            repeat(SERVERS) { serve(handler, LinkLimits()).first.close() }
+            repeat(SERVERS) { serve(handler, LinkLimits()).toList().forEach { it.close() } }
             delay(500.milliseconds)
         } finally {
             Thread.setDefaultUncaughtExceptionHandler(before)
