--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -76,7 +76,7 @@
 
     /**
      * Keeps links to the other [replicas] and tells everybody about the members: [own], if this replica hears a leader,
-     * or else what it is told. Its own log may name former members then, as it may have been replaced while it was away.
+     * or else what it is told. Its own log may name former members then, if it was replaced while it was away.
      */
     fun update(replicas: Set<InstanceName>, own: ServiceMessage.Members) {
         peers.keep(replicas - self)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemberFollower.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemberFollower.kt
@@ -6,7 +6,9 @@
 import org.zinniahoist.wire.ServiceMessage
 
 /**
- * Keeps the replica and the links of a core up to date on who belongs to the group. Not safe for use by several threads.
+ * Keeps the replica and the links of a core up to date on who belongs to the group.
+ *
+ * Not safe for use by several threads.
  *
  * @param seeds the replicas that the settings name.
  */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
@@ -21,7 +21,7 @@
     @Synchronized
     fun begin(now: Moment): Reading = Reading(leadership, now)
 
-    /** Sends [entries] as [reading] has found them, unless this replica stopped to lead since, or they are old [now]. */
+    /** Sends [entries], which [reading] found, unless this replica stopped to lead since or they are old [now]. */
     @Synchronized
     fun publish(reading: Reading, entries: List<ListedUpstream>, now: Moment) {
         if (reading.leadership != leadership || now - reading.begun > LONGEST_READING) return
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UpstreamPublisherTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UpstreamPublisherTest.kt
@@ -61,7 +61,7 @@
         expectThat(entry.offered + entry("e2").offered).isEmpty()
     }
 
-    /** Guards against the same by a leader that was frozen while it read, and does not know yet that it was replaced. */
+    /** Guards against the same by a leader that was frozen while it read and does not know that it was replaced. */
     @Test
     fun `a list that took long to read is not sent`() {
         val entry = entry("e1")
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
@@ -49,7 +49,7 @@
 
     /**
      * Stops to accept and closes the open links with [reason]. Returns when their handlers have been told, or when the
-     * times to open and to close a link have passed: a handler that does not return must not keep a process from ending.
+     * times to open and to close a link have passed: a handler that does not return must not keep a process alive.
      */
     public suspend fun stop(reason: String) {
         stopReason = reason
--- a/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/SendQueue.kt
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Returns false if the queue is full or closed. While less than the limit waits, a frame of any size has a place. */
+    /** Returns false if the queue is full or closed. While less than the limit waits, any frame has a place. */
     fun offer(frame: ByteArray): Boolean {
         if (bytes.get() >= maximumBytes) return false
         count(frame)
