Bound what all single answers of an entry hold together

Callers of all requests at an entry would have seen them fail at once: twenty answers of 4 MB, each within its own limit, fill the heap of 80 MB.

Cause: only each answer had a limit, not all of them.

AnswerMemory counts the bytes of single answers as they arrive, for each client request, until its client has the answer. Beyond a quarter of the heap an answer of more than 64 kB is lost and its connection closed: a request that may be repeated goes on elsewhere, one that may run once gets 504, since it may have run. A share is closed where the response to its client ends, whichever way, so no room is lost for good. BodyCollector takes the place of collect().

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -19,6 +19,7 @@
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.AnswerMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.model.Moment
@@ -45,6 +46,7 @@
     private val scope: CoroutineScope,
     private val clock: () -> Moment,
     private val metrics: GatewayMetrics,
+    private val memory: AnswerMemory,
     private val random: Random = Random.Default,
 ) : HttpService {
     private val names = dialect.headers
@@ -66,17 +68,19 @@
     override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
         if (isStopping) context.initiateConnectionShutdown()
         inFlight.incrementAndGet()
-        val answer = scope.future { guarded(request) }
+        val share = memory.share()
+        val answer = scope.future { guarded(request, share) }
         val response = HttpResponse.of(answer)
         response.whenComplete().handle { _, failure ->
             inFlight.decrementAndGet()
+            share.close()
             if (failure != null) answer.cancel(true)
         }
         return response
     }
 
-    private suspend fun guarded(request: HttpRequest): HttpResponse = try {
-        answer(request)
+    private suspend fun guarded(request: HttpRequest, share: AnswerMemory.Share): HttpResponse = try {
+        answer(request, share)
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (_: ContentTooLargeException) {
@@ -86,7 +90,7 @@
         HttpResponse.of(HttpStatus.BAD_GATEWAY)
     }
 
-    private suspend fun answer(request: HttpRequest): HttpResponse {
+    private suspend fun answer(request: HttpRequest, share: AnswerMemory.Share): HttpResponse {
         val arrival = clock()
         val path = request.path().substringBefore('?')
         val query = request.path().substringAfter('?', "").ifEmpty { null }
@@ -104,23 +108,25 @@
         }
         return when (route.kind) {
             RouteKind.BATCH -> submit(request, host, path, body)
-            RouteKind.EVENT_STREAM -> stream(request, body, route, arrival)
-            RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE -> forward(request, body, route, arrival, known)
+
+            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(request, body, route, arrival, share))
+
+            RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE ->
+                forward(request, forwardedRequest(request, body, route, arrival, share), arrival, known)
         }
     }
 
     private suspend fun forward(
         request: HttpRequest,
-        body: ByteArray,
-        route: Route,
+        forwardedRequest: ForwardedRequest,
         arrival: Moment,
         known: RouteTable,
     ): HttpResponse {
-        val forwardedRequest = forwardedRequest(request, body, route, arrival)
         val forwarded = forwarder.forward(forwardedRequest)
         logger.info {
-            "event=request request=${forwardedRequest.identifier} route=${route.name} revision=${known.revision} " +
-                "outcome=${describe(forwarded)} milliseconds=${(clock() - arrival).inWholeMilliseconds}"
+            "event=request request=${forwardedRequest.identifier} route=${forwardedRequest.route.name} " +
+                "revision=${known.revision} outcome=${describe(forwarded)} " +
+                "milliseconds=${(clock() - arrival).inWholeMilliseconds}"
         }
         metrics.onRequest(outcomeOf(forwarded), clock() - arrival)
         return when (forwarded) {
@@ -145,26 +151,23 @@
     private fun passOn(answer: WholeAnswer): HttpResponse =
         HttpResponse.of(Forwarder.passedHeaders(answer.headers), HttpData.wrap(answer.body))
 
-    private suspend fun stream(
-        request: HttpRequest,
-        body: ByteArray,
-        route: Route,
-        arrival: Moment,
-    ): HttpResponse = when (val stream = streams.forward(forwardedRequest(request, body, route, arrival))) {
-        is ForwardedStream.Begun -> stream.response
-        is ForwardedStream.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, stream.reason)
-        is ForwardedStream.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
-    }
+    private suspend fun stream(request: HttpRequest, forwardedRequest: ForwardedRequest): HttpResponse =
+        when (val stream = streams.forward(forwardedRequest)) {
+            is ForwardedStream.Begun -> stream.response
+            is ForwardedStream.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, stream.reason)
+            is ForwardedStream.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+        }
 
     private fun forwardedRequest(
         request: HttpRequest,
         body: ByteArray,
         route: Route,
         arrival: Moment,
+        share: AnswerMemory.Share,
     ): ForwardedRequest {
         val headers = request.headers()
         val budget = Forwarder.budget(headers.get(names.remainingMilliseconds), route.timeout)
-        return ForwardedRequest(headers, body, headers.get(names.requestIdentifier), route, arrival + budget)
+        return ForwardedRequest(headers, body, headers.get(names.requestIdentifier), route, arrival + budget, share)
     }
 
     private suspend fun submit(
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -19,6 +19,7 @@
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.link.CoreObserver
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.AnswerMemory
 import org.zinniahoist.gateway.upstream.ListReader
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -55,7 +56,8 @@
         clock,
     )
     private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
-    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics)
+    private val memory = AnswerMemory(Runtime.getRuntime().maxMemory() / HEAP_PARTS)
+    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory)
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
 
@@ -70,6 +72,9 @@
         metrics.gauge("zinniahoist_requests_in_flight", "Client requests without a complete answer.") {
             http.requestsInFlight
         }
+        metrics.gauge("zinniahoist_answer_bytes_held", "Bytes of answers that clients do not have yet.") {
+            memory.heldBytes
+        }
         core.start()
         scope.launch { directory.keepFresh() }
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
@@ -129,6 +134,9 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
+        /** An answer stands in memory twice while its pieces are joined; the other half is for all else. */
+        const val HEAP_PARTS = 4
+
         /** Longer than any idle time that a configuration promises to clients. */
         val IDLE_TIMEOUT = 60.seconds
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.upstream.AnswerLimits
+import org.zinniahoist.gateway.upstream.AnswerMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.gateway.upstream.readWhole
@@ -36,6 +37,8 @@
     val identifier: String?,
     val route: Route,
     val deadline: Moment,
+    /** Where the bytes of its answers are counted. */
+    val share: AnswerMemory.Share,
 )
 
 /** How the forwarding of a request ended. */
@@ -167,7 +170,7 @@
                     AnswerLimits.SINGLE,
                     request.identifier,
                 )
-                val outcome = classify(readWhole(response, names.requestIdentifier, request.identifier))
+                val outcome = classify(readWhole(response, names.requestIdentifier, request.identifier, request.share))
                 isSound = outcome is Outcome.Sound
                 return outcome
             } catch (cancelled: CancellationException) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/WholeAnswer.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/WholeAnswer.kt
@@ -20,19 +20,32 @@
 /**
  * Reads [response] to its end. The connection is closed if the coroutine is cancelled, and if the answer doesn't echo
  * [identifier] in the header [identifierName]: what follows on such a connection belongs to other requests as well.
+ * The bytes of an answer that was read to its end stay in [share].
+ *
+ * @throws AnswerMemoryException if [share] has no room for the body.
  */
-internal suspend fun readWhole(response: HttpResponse, identifierName: String, identifier: String?): WholeAnswer {
+internal suspend fun readWhole(
+    response: HttpResponse,
+    identifierName: String,
+    identifier: String?,
+    share: AnswerMemory.Share? = null,
+): WholeAnswer {
+    val collector = BodyCollector(share)
     var isWhole = false
     try {
         val split = response.split()
         val headers = split.headers().await()
         val echoed = headers.get(identifierName)
         if (echoed != identifier) throw ForeignAnswerException("echo $echoed instead of $identifier")
-        val parts = split.body().collect().await()
+        split.body().subscribe(collector)
+        val parts = collector.result.await()
         isWhole = true
         return WholeAnswer(headers, join(parts))
     } finally {
-        if (!isWhole) response.abort()
+        if (!isWhole) {
+            response.abort()
+            collector.drop()
+        }
     }
 }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
@@ -98,7 +98,16 @@
         val reader = ListReader(dialect.paths, dialect::listPage, fixture.calls, Endpoint("127.0.0.1", 1))
         val directory = UpstreamDirectory(LatencyChooser(), reader, fixture.clock)
         val core = CoreClient(emptySet(), hello(), Observer, scope, fixture.clock)
-        return EntryHttp(dialect, core, directory, fixture.calls, scope, fixture.clock, GatewayMetrics())
+        return EntryHttp(
+            dialect,
+            core,
+            directory,
+            fixture.calls,
+            scope,
+            fixture.clock,
+            GatewayMetrics(),
+            fixture.memory,
+        )
     }
 
     private fun hello() = LinkMessage.Hello(
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.AnswerMemory
 import org.zinniahoist.gateway.upstream.RawAnswer
 import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -29,6 +30,7 @@
     private val rawUpstreams = ArrayList<RawUpstream>()
     val calls = UpstreamCalls(Names)
     val upstreams = ListedInOrder()
+    val memory = AnswerMemory(MEMORY_BYTES)
     val clock = { Moment(System.nanoTime()) + advance }
 
     /** Time by which the clock of this fixture is ahead, so that a test need not wait for a deadline. */
@@ -63,7 +65,7 @@
 
     fun request(kind: RouteKind, within: Duration = 10.seconds, target: Duration = 1.seconds): ForwardedRequest {
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
-        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind, target), clock() + within)
+        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind, target), clock() + within, memory.share())
     }
 
     /** Head of an answer to the request of this fixture. */
@@ -104,6 +106,9 @@
 
     companion object {
         const val REQUEST = "r1"
+
+        /** A few of the largest answers. */
+        const val MEMORY_BYTES = 16L shl 20
         private val SERVICE = ServiceName("drafts")
 
         private fun routeOf(kind: RouteKind, target: Duration) = Route(
