--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -82,20 +82,17 @@
         return response
     }
 
-    private suspend fun guarded(
-        request: HttpRequest,
-        phase: EntryPhase,
-        share: AnswerMemory.Share,
-    ): HttpResponse = try {
-        if (phase == EntryPhase.REFUSING) refuseStopping(request) else answer(request, share)
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (_: ContentTooLargeException) {
-        HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
-    } catch (failure: Exception) {
-        logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
-        HttpResponse.of(HttpStatus.BAD_GATEWAY)
-    }
+    private suspend fun guarded(request: HttpRequest, phase: EntryPhase, share: AnswerMemory.Share): HttpResponse =
+        try {
+            if (phase == EntryPhase.REFUSING) refuseStopping(request) else answer(request, share)
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (_: ContentTooLargeException) {
+            HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+        } catch (failure: Exception) {
+            logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
+            HttpResponse.of(HttpStatus.BAD_GATEWAY)
+        }
 
     private suspend fun refuseStopping(request: HttpRequest): HttpResponse {
         request.aggregate().await()
