Core: refuse further pages of results to a reader that takes them slowly

Pages of up to a megabyte were made for each call at once and queued on the reader's link, 1,024 of them for each link. Readers who come back together after a final fault, over entries with 42 Mbit/s, could fill the leader's heap.

A page is made only while less than 4 MiB wait on the link of its reader and less than 32 MiB on all. Beyond that the call had no effect and says so; the entry asks again within its client's time and then answers 503.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -112,12 +112,16 @@
     private suspend fun answer(link: LinkConnection, call: ServiceMessage.Call) {
         answering.incrementAndGet()
         try {
-            link.send(ServiceMessage.Reply(call.identifier, jobs.answer(call.call)))
+            link.send(ServiceMessage.Reply(call.identifier, jobs.answer(call.call) { hasRoom(link) }))
         } finally {
             answering.decrementAndGet()
         }
     }
 
+    /** Pages of results wait in memory, so a reader that takes them slowly is refused further ones. */
+    private fun hasRoom(link: LinkConnection): Boolean =
+        link.unsent.bytes < MAXIMUM_UNSENT_OF_LINK && inbound.sumOf { it.unsent.bytes } < MAXIMUM_UNSENT
+
     private fun receive(traffic: ControlMessage.ReplicaTraffic) {
         try {
             host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
@@ -146,5 +150,11 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
+
+        /** Some pages of results, in bytes. */
+        const val MAXIMUM_UNSENT_OF_LINK = 4L shl 20
+
+        /** An eighth of the heap of a core with 460 MB, in bytes. */
+        const val MAXIMUM_UNSENT = 32L shl 20
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -33,11 +33,12 @@
         waiters.remove(record.job.identifier)?.complete(Unit)
     }
 
-    suspend fun answer(call: ServiceCall): ServiceReply = when (call) {
+    /** Answers [call]. Results are read only if [hasRoom] says that a page of them may wait for its reader. */
+    suspend fun answer(call: ServiceCall, hasRoom: () -> Boolean = { true }): ServiceReply = when (call) {
         is ServiceCall.AppliedConfiguration -> applied(call)
         is ServiceCall.NewestConfiguration -> confirmed { document() ?: ServiceReply.NotFound }
         is ServiceCall.SubmitJob -> submit(call)
-        is ServiceCall.ReadJob -> readJob(call)
+        is ServiceCall.ReadJob -> readJob(call, hasRoom)
         is ServiceCall.ReadItem -> confirmed { readItem(call) }
         is ServiceCall.EndJob -> propose(ServiceCommand.EndJob(JobIdentifier(call.job)))
     }
@@ -64,13 +65,14 @@
         )
     }
 
-    private suspend fun readJob(call: ServiceCall.ReadJob): ServiceReply {
+    private suspend fun readJob(call: ServiceCall.ReadJob, hasRoom: () -> Boolean): ServiceReply {
         val identifier = JobIdentifier(call.job)
         val first = confirmed { machine.job(identifier)?.let { ServiceReply.Done } ?: ServiceReply.NotFound }
         if (first !is ServiceReply.Done) return first
         val record = machine.job(identifier) ?: return ServiceReply.NotFound
         if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
         awaitResult(record, call)
+        if (!hasRoom()) return ServiceReply.Unavailable("too many results wait for their readers")
         return ServiceReply.Content(page(record, call.after))
     }
 
