--- a/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTest.kt
@@ -72,6 +72,21 @@
             expectThat(link.send(LinkMessage.Goodbye("late"))).isFalse()
         }
 
+        /** Guards against a planned stop that is reported as a lost connection, since the peer closes it first. */
+        @Test
+        fun `a link that this side closes ends as closed here`(): Unit = runBlocking {
+            val (_, endpoint) = serve()
+            val causes = List(CLOSED_LINKS) {
+                RawPeer(endpoint).use { peer ->
+                    peer.greet()
+                    serverHandler.opened.receive().close("planned")
+                    while (peer.read() !is LinkMessage.Goodbye) yield()
+                }
+                serverHandler.closed.receive()
+            }
+            expectThat(causes.filter { it != LinkCloseCause.Local }).isEmpty()
+        }
+
         /** Guards against a stopped process that is taken for a silent one. */
         @Test
         fun `a client reports that nobody listens`(): Unit = runBlocking {
@@ -221,4 +236,8 @@
             }
         }
     }
+
+    private companion object {
+        const val CLOSED_LINKS = 2_000
+    }
 }
