--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -22,7 +22,8 @@
  * Runs one replica on its own thread.
  *
  * A replica whose disk fails, or that can't apply a command, ends: it votes, acknowledges and answers no more. With
- * [reopen] its folder is then opened and read as after a restart, again and again with pauses that grow, and the replica goes on from what is durable. Without it, the replica has stopped for good.
+ * [reopen] its folder is then opened and read as after a restart, again and again with pauses that grow, and the
+ * replica goes on from what is durable. Without it, the replica has stopped for good.
  *
  * All functions may be called from any thread.
  *
@@ -30,8 +31,8 @@
  * @param stateMachine empty; it is emptied again before the folder is read anew.
  * @param opened the folder of the replica; closed by [close].
  * @param reopen opens the folder after a failure, when what was opened before is closed.
- * @param onFailure told once why the replica has stopped for good by itself. Called from the thread of the replica; must
- * not block.
+ * @param onFailure told once why the replica has stopped for good by itself. Called from the thread of the replica;
+ * must not block.
  */
 public class GroupHost(
     name: String,
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
@@ -129,7 +129,7 @@
         files.syncFolder()
     }
 
-    /** A process that was killed may have left an append without its sync, which is read and acknowledged from now on. */
+    /** A killed process may have left an append without its sync, which is read and acknowledged from now on. */
     private fun makeDurable(last: Segment.Content) {
         if (last.totalBytes > last.validBytes) files.truncate(last.name, last.validBytes)
         files.sync(last.name)
@@ -167,8 +167,8 @@
          * Opens the folder [files]. A torn end of the log is cut off, and all that was read is durable. An empty folder
          * gets [freshIdentifier], and its replica has no vote until the leader of a group has added and promoted it.
          *
-         * @param isAfterFailure true if a write has failed since the process started. The folder is then read only if it
-         * takes writes, and what may not be durable is written anew.
+         * @param isAfterFailure true if a write has failed since the process started. The folder is then read only if
+         * it takes writes, and what may not be durable is written anew.
          */
         public fun open(
             files: FileStore,
@@ -218,7 +218,7 @@
             StorageError.Failed(files.location, exception).left()
         }
 
-        /** Writes a file and deletes it, which costs less than to read the folder and to find then that no write succeeds. */
+        /** Writes a file and deletes it, which costs less than to read a folder that takes no writes. */
         private fun probe(files: FileStore): Either<StorageError, Unit> = try {
             if (PROBE in files.list()) files.delete(PROBE)
             files.append(PROBE, ByteArray(PROBE_BYTES))
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -85,7 +85,7 @@
     fun startWaiting(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
         startIn(waiting, now, choose)
 
-    /** Starts the waiting items for which [choose] returns an upstream, first those that have not started for longest. */
+    /** Starts the waiting items for which [choose] returns an upstream, first those that last started longest ago. */
     fun startInTurn(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
         startIn(waiting.sortedBy { it.lastStartedAt ?: it.waitingSince ?: now }, now, choose)
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -111,8 +111,8 @@
     }
 
     /**
-     * Returns the upstreams of [service] among which a run may be placed at [now], of those that [canRun] it: those that
-     * are not suspended, or else those that may be probed.
+     * Returns the upstreams of [service] among which a run may be placed at [now], of those that [canRun] it: the ones
+     * that are not suspended, or else those that may be probed.
      */
     public fun candidates(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> =
         ready(service, now, canRun).ifEmpty { probes(service, now, canRun) }
@@ -122,8 +122,8 @@
         usable(service, now).filter(canRun)
 
     /**
-     * Returns the suspended upstreams of [service] on which one run may find out at [now] whether they are back, of those
-     * that [canRun] it; none while another upstream can run it.
+     * Returns the suspended upstreams of [service] on which one run may find out at [now] whether they are back, of
+     * those that [canRun] it; none while another upstream can run it.
      */
     public fun probes(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
         if (ready(service, now, canRun).isNotEmpty()) return emptyList()
