--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ProbeTurnsTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ProbeTurnsTest.kt
@@ -15,7 +15,7 @@
 internal class ProbeTurnsTest {
     private val dispatcher = ItemDispatcher()
 
-    /** Breaks each run of the items [crashing] without an event, for 12 s. Returns the items in the order of their runs. */
+    /** Breaks each run of the items [crashing] without an event, for 12 s. Returns the items in the order of runs. */
     private fun play(crashing: Set<String>): List<String> {
         val started = ArrayList<String>()
         var now = START
