--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -129,11 +129,11 @@
                 body()
             } catch (cancelled: CancellationException) {
                 if (!isActive) throw cancelled
-                lost(cancelled)
+                LinkCloseCause.ConnectionLost(cancelled.message.orEmpty())
             } catch (fault: FrameException) {
                 LinkCloseCause.ProtocolError(fault.message.orEmpty())
             } catch (fault: IOException) {
-                lost(fault)
+                LinkCloseCause.ConnectionLost(fault.message.orEmpty())
             } catch (fault: Exception) {
                 logger.error(fault) { "event=link-handler-failed peer=${peer.instance}" }
                 LinkCloseCause.ProtocolError("handler failed: ${fault.message}")
@@ -141,10 +141,6 @@
         )
     }
 
-    /** The peer closes the connection as soon as it has read the goodbye, which may be noticed first. */
-    private fun lost(fault: Exception): LinkCloseCause =
-        if (goodbye != null) LinkCloseCause.Local else LinkCloseCause.ConnectionLost(fault.message.orEmpty())
-
     private suspend fun write(): LinkCloseCause {
         while (true) {
             val frame = queued() ?: afterYield() ?: nextFrame() ?: break
