--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReplicaTest.kt
@@ -12,44 +12,17 @@
 import org.zinniahoist.consensus.ReplicaMessageContent.SnapshotRequest
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteRequest
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteResponse
-import org.zinniahoist.model.InstanceName
-import org.zinniahoist.model.Moment
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
-import strikt.assertions.isGreaterThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
-import kotlin.random.Random
-import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-class ReplicaTest {
-    private val addresses = List(3) { ReplicaAddress(ReplicaIdentifier(it.toLong()), InstanceName("n$it")) }
-    private val configuration = Configuration(addresses.map { Member(it, voter = true) })
-    private var now = Moment.ZERO
-    private val first = LogEntry(1, 1, 1_000, command = null, configuration)
-
-    private fun replica(vararg entries: LogEntry, snapshot: Snapshot? = null): Replica {
-        val recovered = RecoveredState(addresses[0].identifier, HardState(1, null), snapshot, entries.toList())
-        return Replica(addresses[0].instance, ReplicaOptions(), recovered, Random(1), now)
-    }
-
-    private fun Replica.step(event: ReplicaEvent, later: Duration = Duration.ZERO): List<ReplicaAction> {
-        now += later
-        return step(now, listOf(event))
-    }
-
-    private fun Replica.receive(from: Int, content: ReplicaMessageContent, term: Long = this.term) =
-        step(ReplicaEvent.Receive(ReplicaMessage(addresses[from], address.identifier, term, content)))
-
-    private fun List<ReplicaAction>.sent() = filterIsInstance<ReplicaAction.Send>().map { it.message.content }
-
-    private fun List<ReplicaAction>.sequence() = filterIsInstance<ReplicaAction.Persist>().last().sequence
-
+internal class ReplicaTest : ReplicaFixture() {
     /** Guards against a replica that answers nobody while it applies its whole log after a start. */
     @Test
     fun `a long log is applied in parts`() {
@@ -66,15 +39,6 @@
         expectThat(applied.toList()).isEqualTo((1L..1_000).toList())
     }
 
-    private fun leader(replica: Replica = replica(first)): Replica {
-        replica.step(ReplicaEvent.Tick, 2.seconds)
-        val campaign = replica.receive(1, PreVoteResponse(2, granted = true))
-        replica.step(ReplicaEvent.Persisted(campaign.sequence()))
-        val start = replica.receive(1, VoteResponse(granted = true))
-        replica.step(ReplicaEvent.Persisted(start.sequence()))
-        return replica
-    }
-
     @Nested
     inner class `Before the sync completed` {
         /** Guards against a vote that is forgotten in a crash and given again to another candidate. */
@@ -122,91 +86,6 @@
             expectThat(replica.receive(2, AppendResponse(true, 2, 2, round))).contains(ReplicaAction.AnswerRead(5))
         }
 
-        /** Guards against a leader that runs out of memory while emptied replicas catch up. */
-        @Test
-        fun `bounds the bytes on the way to a replica`() {
-            val replica = leader()
-            replica.receive(1, AppendResponse(true, 2, 2, 0))
-            val sent = (1L..40L).flatMap { replica.propose(it, ByteArray(512 * 1_024)) }
-            expectThat(sent.commandBytesTo(1)).isLessThanOrEqualTo(5L shl 20)
-            val more = replica.receive(1, AppendResponse(true, sent.lastIndexTo(1), sent.lastIndexTo(1), 0))
-            expectThat(more.commandBytesTo(1)).isGreaterThan(0)
-        }
-
-        /** Guards against a leader that sends a replica the same entries again with each read of a client. */
-        @Test
-        fun `reads repeat no entries to a replica that has not answered`() {
-            val replica = leader()
-            replica.receive(1, AppendResponse(true, 2, 2, 0))
-            repeat(8) { replica.propose(it.toLong(), ByteArray(512 * 1_024)) }
-            val sent = (100L..150L).flatMap { replica.step(ReplicaEvent.Read(it)) }
-            expectThat(sent.commandBytesTo(2)).isLessThanOrEqualTo(1L shl 20)
-        }
-
-        /**
-         * Guards against a leader that runs out of memory because a member never answers, as the former replica of an
-         * emptied machine: its link takes what is meant for it, and nobody does.
-         */
-        @Test
-        fun `heartbeats repeat no entries to a replica that has not answered`() {
-            val replica = leader()
-            replica.receive(1, AppendResponse(true, 2, 2, 0))
-            repeat(8) { replica.propose(it.toLong(), ByteArray(512 * 1_024)) }
-            val sent = replica.heartbeats(50)
-            expectThat(sent.commandBytesTo(2)).isLessThanOrEqualTo(1L shl 20)
-        }
-
-        /** Guards against entries that never arrive because those that were sent first were lost. */
-        @Test
-        fun `a heartbeat finds a replica that lost the first entries`() {
-            val replica = leader()
-            replica.receive(1, AppendResponse(true, 2, 2, 0))
-            replica.propose(1, ByteArray(1))
-            expectThat(replica.heartbeats(1).entriesTo(2)).isEmpty()
-            expectThat(replica.receive(2, AppendResponse(true, 1, 1, 0)).lastIndexTo(2)).isEqualTo(3)
-        }
-
-        /** Guards against a leader that sends the same part of a snapshot ten times a second to a slow replica. */
-        @Test
-        fun `heartbeats repeat no part of a snapshot that is on its way`() {
-            val snapshot = Snapshot(1, 1, 1_000, configuration, ByteArray(3 shl 20))
-            val replica = leader(replica(snapshot = snapshot))
-            val start = replica.receive(2, AppendResponse(false, 1, 0, 0))
-            expectThat(start.snapshotBytesTo(2)).isEqualTo(1L shl 20)
-            expectThat(replica.heartbeats(5).snapshotBytesTo(2)).isEqualTo(0)
-        }
-
-        /** Guards against a snapshot that never arrives because a part of it was lost. */
-        @Test
-        fun `a part of a snapshot without an answer is sent again after an election timeout`() {
-            val snapshot = Snapshot(1, 1, 1_000, configuration, ByteArray(3 shl 20))
-            val replica = leader(replica(snapshot = snapshot))
-            replica.receive(2, AppendResponse(false, 1, 0, 0))
-            expectThat(replica.heartbeats(7).snapshotBytesTo(2)).isEqualTo(1L shl 20)
-        }
-
-        private fun List<ReplicaAction>.snapshotBytesTo(peer: Int): Long = filterIsInstance<ReplicaAction.Send>()
-            .filter { it.message.to == addresses[peer].identifier && it.message.content is SnapshotRequest }
-            .sumOf { it.message.payloadBytes }
-
-        /** Steps through [count] heartbeats, each of which the first peer answers. */
-        private fun Replica.heartbeats(count: Int): List<ReplicaAction> = List(count) {
-            val actions = step(ReplicaEvent.Tick, 100.milliseconds)
-            actions + receive(1, AppendResponse(true, 2, 2, 0))
-        }.flatten()
-
-        private fun Replica.propose(request: Long, command: ByteArray) =
-            step(ReplicaEvent.Propose(request, 1_000, command))
-
-        private fun List<ReplicaAction>.entriesTo(peer: Int): List<LogEntry> = filterIsInstance<ReplicaAction.Send>()
-            .filter { it.message.to == addresses[peer].identifier }
-            .flatMap { (it.message.content as? AppendRequest)?.entries.orEmpty() }
-
-        private fun List<ReplicaAction>.commandBytesTo(peer: Int): Long =
-            entriesTo(peer).sumOf { it.command?.size?.toLong() ?: 0 }
-
-        private fun List<ReplicaAction>.lastIndexTo(peer: Int): Long = entriesTo(peer).maxOf { it.index }
-
         /** Guards against state machines whose clock runs backwards when the wall clock is set back. */
         @Test
         fun `never stamps a smaller time`() {
