--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupHost.kt
@@ -173,7 +173,7 @@
     }
 }
 
-/** What all lives of one replica have in common. */
+/** What stays the same when the folder of a replica is opened again. */
 internal class ReplicaParts(
     val name: String,
     val instance: InstanceName,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -39,7 +39,7 @@
     private val peers = PeerLinks(hello, Outbound(), clock, onRefused = { host.reportStopped(it) })
 
     @Volatile
-    private var lastMembers = KnownMembers(ServiceMessage.Members(emptyList(), leader = null), isFirstHand = false)
+    private var lastMembers = KnownMembers(ServiceMessage.Members(emptyList(), leader = null), hearsLeader = false)
 
     /** What another replica said of the members last, and the link on which it said so. */
     @Volatile
@@ -80,8 +80,8 @@
      */
     fun update(replicas: Set<InstanceName>, own: ServiceMessage.Members) {
         peers.keep(replicas - self)
-        val isFirstHand = own.leader != null
-        val present = KnownMembers(if (isFirstHand) own else membersTold ?: own, isFirstHand)
+        val hearsLeader = own.leader != null
+        val present = KnownMembers(if (hearsLeader) own else membersTold ?: own, hearsLeader)
         if (present == lastMembers) return
         lastMembers = present
         logger.info {
@@ -90,10 +90,10 @@
         (inbound + peers.links).forEach(::tellMembers)
     }
 
-    /** Replicas believe only those that hear a leader, so that no word of former members goes round among them. */
+    /** Other replicas are told only by one that hears the leader: one outside the group may know former members. */
     private fun tellMembers(link: LinkConnection) {
         val present = lastMembers
-        val isTold = present.isFirstHand || Role.ENTRY in link.peer.roles
+        val isTold = present.hearsLeader || Role.ENTRY in link.peer.roles
         if (isTold && present.members.leader != null) link.offer(present.members)
     }
 
@@ -166,10 +166,10 @@
         override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = forget(link)
     }
 
-    /** Members of the group; [isFirstHand] if this replica hears their leader. */
+    /** Members of the group, and whether this replica hears their leader. */
     private data class KnownMembers(
         val members: ServiceMessage.Members,
-        val isFirstHand: Boolean,
+        val hearsLeader: Boolean,
     )
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
@@ -8,8 +8,8 @@
 import kotlin.time.Duration.Companion.seconds
 
 /**
- * Sends the platform's list to the entries while this replica leads: in full to each entry whose last one was another,
- * else as a word that it is unchanged. May be used by several threads.
+ * Sends the platform's list to the entries while this replica leads. An entry that has the list already is told only
+ * that it is unchanged. May be used by several threads.
  */
 internal class UpstreamPublisher {
     /** The entries' links, each with the list that it took last. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -150,7 +150,7 @@
             return null
         }
 
-        /** An upstream that answered with a failure has its say; one that refused or lost the request may be back. */
+        /** An upstream that answered with a failure is not asked again; one that refused or lost the request is. */
         private fun mayReuse(): Boolean = running == 0 && failed == null && clock() + REUSE_PAUSE < request.deadline
 
         private fun unanswered(): Forwarded {
