Show how the upstreams are shared among the models, and name jobs that are late

The lines of a core did not say how many upstreams each model had, how many held its newest weights, and what became of the items that made a step late, so the hypotheses of the incident could not be told apart.

The leader now writes one line a second for each model (`model`) and one for each job that is not finished when it is due (`job-late`), with the same figures as gauges. `job-begun` names the model. No decision changes.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -15,6 +15,8 @@
 import org.zinniahoist.policy.dispatch.DispatchAction
 import org.zinniahoist.policy.dispatch.ItemDispatcher
 import org.zinniahoist.policy.dispatch.ItemKey
+import org.zinniahoist.policy.dispatch.LateJob
+import org.zinniahoist.policy.dispatch.ModelWork
 import org.zinniahoist.policy.dispatch.RunEnd
 import org.zinniahoist.policy.dispatch.UpstreamBoard
 import org.zinniahoist.policy.routes.Route
@@ -114,6 +116,12 @@
         !record.isEnded && routes?.find(record.job.host, record.job.path)?.batch?.singleVersion == true
     }
 
+    /** Returns the open items of [model]. */
+    fun workOf(model: ModelName): ModelWork = dispatcher.workOf(model, clock())
+
+    /** Returns the jobs that are due and have items without a result. */
+    fun lateJobs(): List<LateJob> = dispatcher.lateJobs(clock())
+
     /** Returns the expected tokens of all open items of [model]. */
     fun openTokens(model: ModelName): Long = dispatcher.openTokens(model)
 
@@ -157,8 +165,8 @@
         val plan = planner.plan(record, route, open, now)
         val isFirst = begun.put(job.identifier, route.services) == null
         logger.info {
-            "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} step=${job.step?.step} " +
-                "items=${job.items.size} open=${open.size} reused=${plan.reused.size} " +
+            "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} model=${job.step?.model} " +
+                "step=${job.step?.step} items=${job.items.size} open=${open.size} reused=${plan.reused.size} " +
                 "minimum-version=${job.step?.minimumVersion}"
         }
         if (!isFirst) metrics.onEvent("job", "begun_again")
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -56,6 +56,7 @@
         metrics,
     )
     private val loader = WeightLoader(engine.board)
+    private val models = ModelLog(metrics)
     private var unreadRoutes: (() -> RouteTable?)? = null
     private val orders = WeightOrders(dialect, calls, loader, scope, thread::post, clock, ::confirmLeadership, metrics)
 
@@ -74,6 +75,7 @@
         if (!leadership.isActive) return
         engine.tick()
         orders.tick(engine.needsSingleVersion(), engine::openTokens)
+        models.tick(clock(), loader::upstreamsOfModels, engine::workOf, engine::lateJobs)
     }
 
     /**
@@ -109,6 +111,7 @@
         orders.right = null
         engine.deactivate()
         loader.clear()
+        models.clear()
         val status = host().status
         logger.info { "event=jobs-released term=${status.term} leader=${status.leader}" }
     }
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ModelLog.kt
@@ -0,0 +1,96 @@
+package org.zinniahoist.gateway.core
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.policy.dispatch.LateJob
+import org.zinniahoist.policy.dispatch.ModelUpstreams
+import org.zinniahoist.policy.dispatch.ModelWork
+import kotlin.math.roundToInt
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
+
+/**
+ * Shows how the upstreams are shared among the models, as gauges and as one line a second for each model, and names
+ * each job that is not finished when it is due. All functions run on the engine's thread.
+ */
+internal class ModelLog(
+    private val metrics: GatewayMetrics,
+    private val write: (String) -> Unit = { logger.info { it } },
+) {
+    /** Written on the engine's thread and read by the thread that answers for the metrics. */
+    @Volatile
+    private var latest: List<ModelLine> = emptyList()
+    private var writtenAt: Moment? = null
+    private val lateJobs = LinkedHashSet<String>()
+
+    init {
+        GAUGES.forEach { (name, gauge) ->
+            metrics.gauges("zinniahoist_model_$name", gauge.help, "model") {
+                latest.associate { it.upstreams.model.value to gauge.read(it) }
+            }
+        }
+    }
+
+    /** Once a second writes a line for each of the models that [upstreams] returns, with the items of [work]. */
+    fun tick(
+        now: Moment,
+        upstreams: () -> List<ModelUpstreams>,
+        work: (ModelName) -> ModelWork,
+        late: () -> List<LateJob>,
+    ) {
+        if (writtenAt?.let { now - it < LINE_INTERVAL } == true) return
+        writtenAt = now
+        latest = upstreams().map { ModelLine(it, work(it.model)) }
+        latest.forEach { write(line(it)) }
+        late().filter { lateJobs.add(it.job) }.forEach { write(line(it)) }
+        while (lateJobs.size > REMEMBERED_JOBS) lateJobs.remove(lateJobs.first())
+    }
+
+    /** This replica no longer shares out the upstreams. */
+    fun clear() {
+        latest = emptyList()
+        lateJobs.clear()
+    }
+
+    private fun line(shown: ModelLine): String = with(shown) {
+        "event=model model=${upstreams.model} version=${upstreams.newest} homes=${upstreams.homes} " +
+            "share=${upstreams.share.roundToInt()} current=${upstreams.current} loads=${upstreams.loads} " +
+            "running=${work.running} waiting=${work.waiting} tokens=${work.tokens} " +
+            "oldest-wait-ms=${work.oldestWait.inWholeMilliseconds}"
+    }
+
+    private fun line(late: LateJob): String = with(late.slowest) {
+        "event=job-late job=${late.job} running=${late.running} waiting=${late.waiting} slowest=${key.item} " +
+            "upstream=$upstream events=$events runs=$runs moves=$moves failures=$failures fruitless-runs=$fruitlessRuns"
+    }
+
+    private class ModelLine(
+        val upstreams: ModelUpstreams,
+        val work: ModelWork,
+    )
+
+    private class Gauge(
+        val help: String,
+        val read: (ModelLine) -> Number,
+    )
+
+    private companion object {
+        private val logger = KotlinLogging.logger {}
+        val LINE_INTERVAL = 1.seconds
+        const val REMEMBERED_JOBS = 1_000
+
+        val GAUGES = mapOf(
+            "homes" to Gauge("Upstreams that get new weights of the model.") { it.upstreams.homes },
+            "share" to Gauge("Upstreams for which the open work of the model calls.") { it.upstreams.share },
+            "current_upstreams" to Gauge("Upstreams with the newest weights of the model.") { it.upstreams.current },
+            "loads" to Gauge("Orders to load weights of the model in progress.") { it.upstreams.loads },
+            "running_items" to Gauge("Items of the model that run.") { it.work.running },
+            "waiting_items" to Gauge("Items of the model that wait.") { it.work.waiting },
+            "oldest_wait_seconds" to Gauge("Time for which the oldest item of the model waits, in seconds.") {
+                it.work.oldestWait.toDouble(DurationUnit.SECONDS)
+            },
+        )
+    }
+}
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
@@ -51,6 +51,21 @@
             .register(registry)
     }
 
+    /** Shows what [read] returns at each reading as the gauge [name], one value for each value of [label]. */
+    fun gauges(
+        name: String,
+        help: String,
+        label: String,
+        read: () -> Map<String, Number>,
+    ) {
+        GaugeWithCallback.builder()
+            .name(name)
+            .help(help)
+            .labelNames(label)
+            .callback { shown -> read().forEach { (value, number) -> shown.call(number.toDouble(), value) } }
+            .register(registry)
+    }
+
     /** Returns all metrics in the text format of Prometheus. */
     fun text(): String {
         val bytes = ByteArrayOutputStream()
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -35,6 +35,27 @@
     public fun openTokens(model: ModelName): Long =
         table.all.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
 
+    /** Returns the open items of [model] at [now]. */
+    public fun workOf(model: ModelName, now: Moment): ModelWork {
+        val states = table.all.filter { it.work.terms?.model == model }
+        val waiting = states.filter { it.run == null }
+        return ModelWork(
+            running = states.size - waiting.size,
+            waiting = waiting.size,
+            tokens = states.sumOf { it.work.expectedTokens.toLong() },
+            oldestWait = waiting.maxOfOrNull { now - (it.waitingSince ?: now) } ?: Duration.ZERO,
+        )
+    }
+
+    /** Returns the jobs that are due at [now] and have items without a result. */
+    public fun lateJobs(now: Moment): List<LateJob> = table.all
+        .filter { now >= it.work.dueAt }
+        .groupBy { it.work.key.job }
+        .map { (job, states) ->
+            val running = states.count { it.run != null }
+            LateJob(job, running, states.size - running, states.minBy { it.text.events.size }.lateItem())
+        }
+
     /** Returns why the item with [key] is not running at [now], or null if it runs or is not known. */
     public fun waitReport(key: ItemKey, now: Moment): WaitReport? =
         table.item(key)?.takeIf { it.run == null }?.let { placement.report(it, now) }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -29,10 +29,21 @@
     var lastStartedAt: Moment? = null
     var failures = 0
     var fruitlessRuns = 0
+    var runs = 0
     var moves = 0
     var restart = false
 }
 
+internal fun ItemState.lateItem(): LateItem = LateItem(
+    key = work.key,
+    upstream = run?.upstream?.value,
+    events = text.events.size,
+    runs = runs,
+    moves = moves,
+    failures = failures,
+    fruitlessRuns = fruitlessRuns,
+)
+
 /** Keeps the items without a result, those among them that wait, and the runs of the others. */
 internal class ItemTable(private val board: UpstreamBoard) {
     private val items = LinkedHashMap<ItemKey, ItemState>()
@@ -110,6 +121,7 @@
         card.inFlight++
         state.restart = false
         state.lastStartedAt = now
+        state.runs++
         state.run = RunState(run, card.listed.identity, startedAt = now, lastProgress = now)
         runs[run] = state
         return DispatchAction.Start(run, state.work.key, card.listed, state.text.lastNumber)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
@@ -17,6 +17,7 @@
 internal class ModelHomes(private val board: UpstreamBoard) {
     private val homes = HashMap<UpstreamIdentity, ModelName>()
     private val demand = HashMap<ModelName, Double>()
+    private var shares: Map<ModelName, Double> = emptyMap()
     private var observedAt: Moment? = null
 
     /** Returns true if new weights of [model] belong on [card]. */
@@ -25,6 +26,9 @@
     /** Upstreams that have a model. */
     val total: Int get() = homes.size
 
+    /** Returns the number of upstreams that the demand of [model] called for at the latest assignment. */
+    fun share(model: ModelName): Double = shares[model] ?: 0.0
+
     /** Returns the number of upstreams of [model]. */
     fun count(model: ModelName): Int = homes.values.count { it == model }
 
@@ -43,11 +47,11 @@
         observe(models, openTokens, now)
         val present = holders.mapTo(HashSet()) { it.listed.identity }
         homes.entries.removeIf { it.key !in present || it.value !in models }
-        val shares = shares(models, holders.size)
+        shares = shares(models, holders.size)
         for (card in holders) {
-            if (card.listed.identity !in homes) chooseHome(card, newest, shares)
+            if (card.listed.identity !in homes) chooseHome(card, newest)
         }
-        rebalance(holders, shares)
+        rebalance(holders)
     }
 
     private fun observe(models: Set<ModelName>, openTokens: (ModelName) -> Long, now: Moment) {
@@ -66,7 +70,7 @@
     }
 
     /** A model that lacks upstreams goes first; among these the one whose weights on the upstream are newest. */
-    private fun chooseHome(card: UpstreamCard, newest: Map<ModelName, WeightVersion>, shares: Map<ModelName, Double>) {
+    private fun chooseHome(card: UpstreamCard, newest: Map<ModelName, WeightVersion>) {
         val home = card.models.minWithOrNull(
             compareBy<ModelName>(
                 { count(it) >= shares.getValue(it) },
@@ -77,7 +81,7 @@
         if (home != null) homes[card.listed.identity] = home
     }
 
-    private fun rebalance(holders: List<UpstreamCard>, shares: Map<ModelName, Double>) {
+    private fun rebalance(holders: List<UpstreamCard>) {
         val excess = shares.keys.associateWith { count(it) - shares.getValue(it) }
         val giver = excess.maxBy { it.value }
         val taker = excess.minBy { it.value }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -89,6 +89,18 @@
         return actions + begin(now)
     }
 
+    /** Returns what each named model has of the upstreams. */
+    public fun upstreamsOfModels(): List<ModelUpstreams> = targets.map { (model, newest) ->
+        ModelUpstreams(
+            model = model,
+            newest = newest,
+            homes = homes.count(model),
+            share = homes.share(model),
+            current = board.all.count { card -> card.version(model)?.let { it >= newest } == true },
+            loads = loads.values.count { it.model == model },
+        )
+    }
+
     private fun begin(now: Moment): List<LoadAction> {
         val candidates = targets.flatMap { (model, version) -> candidates(model, version, now) }
             .sortedWith(compareBy({ -it.behind }, { it.card.inFlight }))
--- /dev/null
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/LateJobTest.kt
@@ -0,0 +1,56 @@
+package org.zinniahoist.policy.dispatch
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.DispatchFixture.START
+import org.zinniahoist.policy.dispatch.DispatchFixture.item
+import org.zinniahoist.policy.dispatch.DispatchFixture.starts
+import org.zinniahoist.policy.dispatch.DispatchFixture.upstream
+import strikt.api.expectThat
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.single
+import kotlin.time.Duration.Companion.seconds
+
+internal class LateJobTest {
+    private val dispatcher = ItemDispatcher()
+
+    /** Guards against a late job whose cause can't be told: the slowest item and what became of its runs are named. */
+    @Test
+    fun `names the slowest item of a job that is due`() {
+        dispatcher.board.relist(listOf(upstream("a")))
+        dispatcher.submit(listOf(item("fast"), item("slow"), item("waits")))
+        val run = starts(dispatcher.tick(START)).single { it.key.item.value == "fast" }
+        dispatcher.onBegin(run.run, WeightVersion(1), START)
+        dispatcher.onEvent(run.run, 1, "one", null, START)
+        expectThat(dispatcher.lateJobs(START + 6.seconds)).isEmpty()
+        expectThat(dispatcher.lateJobs(START + 7.seconds)).single().isEqualTo(
+            LateJob(
+                job = "job",
+                running = 2,
+                waiting = 1,
+                slowest = LateItem(
+                    item("slow").key,
+                    upstream = "a",
+                    events = 0,
+                    runs = 1,
+                    moves = 0,
+                    failures = 0,
+                    fruitlessRuns = 0,
+                ),
+            ),
+        )
+    }
+
+    /** Guards against work that is counted for the wrong model, or not while it runs. */
+    @Test
+    fun `counts the items of a model that run and that wait`() {
+        dispatcher.board.relist(listOf(upstream("a")))
+        dispatcher.submit(listOf(item("x"), item("y"), item("z")).map { it.copy(expectedTokens = 10) })
+        dispatcher.tick(START)
+        val work = ModelWork(running = 2, waiting = 1, tokens = 30, oldestWait = 2.seconds)
+        expectThat(dispatcher.workOf(ModelName("m"), START + 2.seconds)).isEqualTo(work)
+        expectThat(dispatcher.workOf(ModelName("other"), START + 2.seconds)).isEqualTo(ModelWork())
+    }
+}
