--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ModelLogTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ModelLogTest.kt
@@ -14,8 +14,8 @@
 import strikt.api.expectThat
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
-import strikt.assertions.isFalse
 import strikt.assertions.hasSize
+import strikt.assertions.isFalse
 import kotlin.time.Duration.Companion.milliseconds
 
 internal class ModelLogTest {
