Divide the upstreams by the work that was handed in, not by what is open

Cause: the share of a model followed its open tokens, averaged over 10 s. A model whose steps finish fast has little open on average, so it lost its home upstreams to slow ones; a new leader began with what was open at its first look. After the change of leader at 19 s, jepu21bdbe had 3 of 28 upstreams and 104 to 192 waiting items, the oldest for 5.8 s, while 7 to 24 items of voye3497a4 ran on 13 to 15.

The share now follows the tokens of all jobs that are open or were handed in within 10 s. Each replica knows these from the record of the jobs, so a new leader divides as the one before did, and a trainer between two steps keeps its upstreams. One that falls behind has more jobs open and gets more.

The new test of the engine fails before: nothing of an ended job counted.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -17,6 +17,7 @@
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.policy.dispatch.LateJob
 import org.zinniahoist.policy.dispatch.ModelWork
+import org.zinniahoist.policy.dispatch.RecentWork
 import org.zinniahoist.policy.dispatch.RunEnd
 import org.zinniahoist.policy.dispatch.UpstreamBoard
 import org.zinniahoist.policy.routes.Route
@@ -26,6 +27,8 @@
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.ServiceStateMachine
 import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -41,7 +44,7 @@
     log: ResultLog,
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
-    wallMilliseconds: () -> Long,
+    private val wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
     random: Random = Random.Default,
 ) {
@@ -52,6 +55,7 @@
     private val recorder = ResultRecorder(log, metrics)
     private val ages = JobAges()
     private val planner = JobPlanner(machine, ages, wallMilliseconds, random)
+    private val recentWork = RecentWork()
 
     /** Jobs whose items were given to the dispatcher, with the services to which their route allowed these to go. */
     private val begun = HashMap<JobIdentifier, Set<ServiceName>>()
@@ -102,6 +106,7 @@
     fun onJob(record: JobRecord) {
         val identifier = record.job.identifier
         if (record.isEnded) ages.forget(identifier) else ages.learn(identifier, clock())
+        noteWork(record)
         if (!isActive) return
         if (record.isEnded) {
             if (identifier in begun) end(identifier)
@@ -111,6 +116,14 @@
         }
     }
 
+    private fun noteWork(record: JobRecord) {
+        val job = record.job
+        val model = job.step?.model ?: return
+        val age = (wallMilliseconds() - record.submittedMilliseconds).milliseconds.coerceAtLeast(Duration.ZERO)
+        recentWork.onSubmitted(job.identifier.value, model, job.expectedTokens, clock() - age)
+        if (record.isEnded) recentWork.onEnded(job.identifier.value)
+    }
+
     /** True if an open job of the model wants each sample from the same weights. */
     fun needsSingleVersion(): Boolean = machine.jobs.any { record ->
         !record.isEnded && routes?.find(record.job.host, record.job.path)?.batch?.singleVersion == true
@@ -122,8 +135,8 @@
     /** Returns the jobs that are due and have items without a result. */
     fun lateJobs(): List<LateJob> = dispatcher.lateJobs(clock())
 
-    /** Returns the expected tokens of all open items of [model]. */
-    fun openTokens(model: ModelName): Long = dispatcher.openTokens(model)
+    /** Returns the expected tokens of the jobs of [model] that are open or were handed in a short while ago. */
+    fun recentTokens(model: ModelName): Long = recentWork.tokens(model, clock())
 
     /** Carries out what is due now. */
     fun tick() {
@@ -141,6 +154,7 @@
         val identifiers = open.map { it.job.identifier }.toSet()
         identifiers.forEach { ages.learn(it, now) }
         ages.retain(identifiers)
+        recentWork.retainOpen(identifiers.mapTo(HashSet()) { it.value })
         (begun.keys - identifiers).forEach(::end)
         open.sortedBy { it.submittedMilliseconds }.forEach { beginGuarded(it, now) }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -102,7 +102,7 @@
             maximumFailures = route.maximumAttempts,
             group = item.group,
             isCarriedOver = text != null,
-            expectedTokens = item.expectedTokens ?: item.tokens,
+            expectedTokens = item.tokensToExpect,
             terms = termsOf(record.job, route),
             text = text ?: ItemText(),
         )
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ModelLog.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ModelLog.kt
@@ -83,7 +83,7 @@
 
         val GAUGES = mapOf(
             "homes" to Gauge("Upstreams that get new weights of the model.") { it.upstreams.homes },
-            "share" to Gauge("Upstreams for which the open work of the model calls.") { it.upstreams.share },
+            "share" to Gauge("Upstreams for which the work of the model calls.") { it.upstreams.share },
             "current_upstreams" to Gauge("Upstreams with the newest weights of the model.") { it.upstreams.current },
             "loads" to Gauge("Orders to load weights of the model in progress.") { it.upstreams.loads },
             "running_items" to Gauge("Items of the model that run.") { it.work.running },
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -42,12 +42,12 @@
     @Volatile
     var right: OrderRight? = null
 
-    fun tick(needsSingleVersion: Boolean, openTokens: (ModelName) -> Long) {
+    fun tick(needsSingleVersion: Boolean, tokens: (ModelName) -> Long) {
         val held = right ?: return
         val now = clock()
         if (now < held.from) return
         val mode = if (needsSingleVersion) LoadMode.WAIT else LoadMode.KEEP
-        for (action in loader.tick(now, openTokens) { mode }) {
+        for (action in loader.tick(now, tokens) { mode }) {
             when (action) {
                 is LoadAction.ReadReport -> scope.launch { readReport(action.upstream) }
                 is LoadAction.Order -> scope.launch { order(held, action) }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -2,10 +2,13 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.StepTerms
 import org.zinniahoist.wire.ServiceReply
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -34,6 +37,22 @@
         expectThat(fixture.eventually { fixture.proposed.size == 2 }).isTrue()
     }
 
+    /**
+     * Guards against a model that a new leader leaves without upstreams, because its trainer is between two steps when
+     * the leader changes.
+     */
+    @Test
+    fun `a model whose step has just ended keeps its work under a new leader`() {
+        val model = ModelName("m")
+        fixture.routes(EngineFixture.route())
+        fixture.submit("j", EngineFixture.item("a"), step = StepTerms(1, model, WeightVersion(1), wantedGroups = 1))
+        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        fixture.activate()
+        expectThat(fixture.recentTokens(model)).isEqualTo(10)
+        fixture.advance += 11.seconds
+        expectThat(fixture.recentTokens(model)).isEqualTo(0)
+    }
+
     /** Guards against a job that is never begun because its route came after it. */
     @Test
     fun `begins a job when its route comes`() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -34,6 +34,7 @@
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.state.service.StepTerms
 import org.zinniahoist.state.service.StoredConfiguration
 import org.zinniahoist.wire.ServiceReply
 import java.util.concurrent.CompletableFuture
@@ -125,8 +126,19 @@
     }
 
     /** Accepts a job with one item for each of [items]. */
-    fun submit(job: String, vararg items: BatchItem, host: String = "h") =
-        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), host, "/s/", items.toList())))
+    fun submit(
+        job: String,
+        vararg items: BatchItem,
+        host: String = "h",
+        step: StepTerms? = null,
+    ) = apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), host, "/s/", items.toList(), step)))
+
+    /** Returns the tokens by which the engine's share of the upstreams for [model] is found. */
+    fun recentTokens(model: ModelName): Long {
+        var tokens = 0L
+        onThread { tokens = engine.recentTokens(model) }
+        return tokens
+    }
 
     /** Lists [result] and says so. */
     fun record(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit) {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -31,10 +31,6 @@
     /** True while [key] waits or runs. */
     public operator fun contains(key: ItemKey): Boolean = table.item(key) != null
 
-    /** Returns the expected tokens of all items of [model] that are not finished. */
-    public fun openTokens(model: ModelName): Long =
-        table.all.filter { it.work.terms?.model == model }.sumOf { it.work.expectedTokens.toLong() }
-
     /** Returns the open items of [model] at [now]. */
     public fun workOf(model: ModelName, now: Moment): ModelWork {
         val states = table.all.filter { it.work.terms?.model == model }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelHomes.kt
@@ -1,24 +1,18 @@
 package org.zinniahoist.policy.dispatch
 
 import org.zinniahoist.model.ModelName
-import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
-import kotlin.math.exp
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.seconds
 
 /**
- * Divides the upstreams among the models that they hold, in proportion to the work that is open for each.
+ * Divides the upstreams among the models that they hold, in proportion to the work of each.
  *
  * New weights of a model are loaded only on its own upstreams. Loading every version of every model everywhere would
  * keep the upstreams loading most of the time when several trainers share them.
  */
 internal class ModelHomes(private val board: UpstreamBoard) {
     private val homes = HashMap<UpstreamIdentity, ModelName>()
-    private val demand = HashMap<ModelName, Double>()
     private var shares: Map<ModelName, Double> = emptyMap()
-    private var observedAt: Moment? = null
 
     /** Returns true if new weights of [model] belong on [card]. */
     fun isHome(card: UpstreamCard, model: ModelName): Boolean = homes[card.listed.identity] == model
@@ -38,35 +32,24 @@
      * All models that the upstreams hold count, so that the first one that is named does not get all upstreams.
      *
      * @param newest the newest named weights.
-     * @param openTokens work that is open for a model at [now].
+     * @param tokens expected tokens of the work of a model.
      */
-    fun assign(newest: Map<ModelName, WeightVersion>, openTokens: (ModelName) -> Long, now: Moment) {
+    fun assign(newest: Map<ModelName, WeightVersion>, tokens: (ModelName) -> Long) {
         val holders = board.all.filter { !it.listed.isLeaving && it.models.isNotEmpty() }
         val models = holders.flatMapTo(LinkedHashSet()) { it.models }
         if (models.isEmpty()) return
-        observe(models, openTokens, now)
         val present = holders.mapTo(HashSet()) { it.listed.identity }
         homes.entries.removeIf { it.key !in present || it.value !in models }
-        shares = shares(models, holders.size)
+        shares = shares(models.associateWith { tokens(it) + LEAST_DEMAND }, holders.size)
         for (card in holders) {
             if (card.listed.identity !in homes) chooseHome(card, newest)
         }
         rebalance(holders)
     }
 
-    private fun observe(models: Set<ModelName>, openTokens: (ModelName) -> Long, now: Moment) {
-        val past = observedAt?.let { now - it } ?: Duration.INFINITE
-        observedAt = now
-        val gain = 1 - exp(-(past / AVERAGING_TIME))
-        for (model in models) {
-            val known = demand[model] ?: 0.0
-            demand[model] = known + gain * (openTokens(model) - known)
-        }
-    }
-
-    private fun shares(models: Set<ModelName>, upstreams: Int): Map<ModelName, Double> {
-        val total = models.sumOf { (demand[it] ?: 0.0) + LEAST_DEMAND }
-        return models.associateWith { upstreams * ((demand[it] ?: 0.0) + LEAST_DEMAND) / total }
+    private fun shares(demand: Map<ModelName, Double>, upstreams: Int): Map<ModelName, Double> {
+        val total = demand.values.sum()
+        return demand.mapValues { (_, tokens) -> upstreams * tokens / total }
     }
 
     /** A model that lacks upstreams goes first; among these the one whose weights on the upstream are newest. */
@@ -93,9 +76,6 @@
     }
 
     internal companion object {
-        /** Several steps of a trainer, so that the pauses between them move no upstream. */
-        private val AVERAGING_TIME = 10.seconds
-
         /** Tokens; keeps a share for a model that has no work at the moment. */
         private const val LEAST_DEMAND = 200.0
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelReport.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ModelReport.kt
@@ -11,7 +11,7 @@
     public val newest: WeightVersion?,
     /** Upstreams that get new weights of the model. */
     public val homes: Int,
-    /** Number of homes for which the open work of the model calls. */
+    /** Number of homes for which the work of the model calls. */
     public val share: Double,
     /** Upstreams of the list that are believed to hold the newest weights. */
     public val current: Int,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -74,17 +74,17 @@
     /**
      * Returns what to do at [now].
      *
-     * @param openTokens open work of a model, by which the upstreams are divided among several models.
+     * @param tokens expected tokens of the work of a model, by which the upstreams are divided among several models.
      * @param modeOf how the runs of a model are treated.
      */
     public fun tick(
         now: Moment,
-        openTokens: (ModelName) -> Long = { 0 },
+        tokens: (ModelName) -> Long = { 0 },
         modeOf: (ModelName) -> LoadMode,
     ): List<LoadAction> {
         loads.values.filter { board.card(it.card.listed.identity) !== it.card }.forEach(::finish)
         rests.keys.removeIf { board.card(it) == null }
-        homes.assign(targets, openTokens, now)
+        homes.assign(targets, tokens)
         val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
         return actions + begin(now)
     }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsDay.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsDay.kt
@@ -49,6 +49,7 @@
     val trainers = plans.mapIndexed { index, plan -> SimulatedTrainer(plan, seed * 100 + index) }
     private val pending = troubles.sortedBy { it.at }.toMutableList()
     private val recoveries = ArrayList<Recovery>()
+    private val work = RecentWork()
     private var leader: DayLeader? = DayLeader(Moment.ZERO)
     private var now = Moment.ZERO
 
@@ -67,8 +68,16 @@
     private fun train(trainer: SimulatedTrainer) {
         trainer.nameAt(now)?.let { leader?.loader?.onNamed(trainer.plan.model, WeightVersion(it)) }
         val present = leader ?: return
-        trainer.endedAt(now).forEach { present.dispatcher.cancelJob(it.job).aborts.forEach(::abort) }
-        trainer.askAt(now)?.let { present.submit(trainer, it) }
+        trainer.endedAt(now).forEach { end(present, it) }
+        trainer.askAt(now)?.let { step ->
+            work.onSubmitted(step.job, trainer.plan.model, trainer.expectedTokens(step), now)
+            present.submit(trainer, step)
+        }
+    }
+
+    private fun end(present: DayLeader, step: SimulatedStep) {
+        work.onEnded(step.job)
+        present.dispatcher.cancelJob(step.job).aborts.forEach(::abort)
     }
 
     private fun onEvent(upstream: SimulatedUpstream, run: SimulatedRun) {
@@ -171,7 +180,7 @@
             }
             carryOut(dispatcher.tick(now))
             if (now - since < ORDER_LEASE && since > Moment.ZERO) return
-            loader.tick(now, dispatcher::openTokens) { LoadMode.KEEP }.forEach(::carryOutLoad)
+            loader.tick(now, { work.tokens(it, now) }) { LoadMode.KEEP }.forEach(::carryOutLoad)
         }
 
         private fun carryOutLoad(action: LoadAction) = when (action) {
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SimulatedTrainer.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SimulatedTrainer.kt
@@ -105,10 +105,15 @@
         giveUpAt = now + 60.seconds,
         maximumFailures = 3,
         group = step.groupOf(item),
-        expectedTokens = 276 + 69 * step.items.getValue(item),
+        expectedTokens = expectedTokens(step, item),
         terms = DraftTerms(plan.model, step.minimum, singleVersion = false),
     )
 
+    fun expectedTokens(step: SimulatedStep): Long = step.items.keys.sumOf { expectedTokens(step, it).toLong() }
+
+    private fun expectedTokens(step: SimulatedStep, item: RequestIdentifier): Int =
+        PROMPT_TOKENS + TOKENS_PER_EVENT * step.items.getValue(item)
+
     private fun events(): Int {
         val common = plan.meanEvents * exp(SPREAD * random.asJavaRandom().nextGaussian() - SPREAD * SPREAD / 2)
         val scaled = if (random.nextDouble() < TAIL_SHARE) common * TAIL_FACTOR else common
@@ -127,6 +132,8 @@
         private const val LATE_WORTH = 0.375
         private val PATIENCE = 12.seconds
         private val TRAINING = 500.milliseconds
+        private const val PROMPT_TOKENS = 276
+        private const val TOKENS_PER_EVENT = 69
         private const val WANTED_SHARE = 0.9
         private const val SPREAD = 0.9
         private const val TAIL_SHARE = 0.1
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -27,7 +27,12 @@
     public val items: List<BatchItem>,
     /** Set if a trainer's step stands behind the job. */
     public val step: StepTerms? = null,
-)
+) {
+    /** Tokens by which the work of all items is estimated. */
+    public val expectedTokens: Long by lazy(LazyThreadSafetyMode.PUBLICATION) {
+        items.sumOf { it.tokensToExpect.toLong() }
+    }
+}
 
 /** What a trainer's step asks of the samples of a job. */
 @Serializable
@@ -53,7 +58,10 @@
     public val expectedTokens: Int? = null,
     /** Items with the same group share their prompt. */
     public val group: String? = null,
-)
+) {
+    /** Tokens by which the work of the item is estimated. */
+    public val tokensToExpect: Int get() = expectedTokens ?: tokens
+}
 
 /** A header of a request as the client sent it. */
 @Serializable
