Fail an answer whose connection is reset, also without a length

Cause: the HTTP codec takes each end of a connection for the end of a body without a length, and a reset ends a connection as well. All three readers of answers believed it.

A guard in the pipeline of each connection lets no end of a body through once the connection has failed; the response then fails with its connection.

Shown before by CutAnswerTest (a whole answer, a run of an item) and by StreamForwarderTest (a stream): all three passed as complete. An answer without a length whose connection is closed in order still counts as complete.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.upstream
 
 import com.linecorp.armeria.client.ClientFactory
+import com.linecorp.armeria.client.ClientFactoryOptions
 import com.linecorp.armeria.client.Clients
 import com.linecorp.armeria.client.RequestOptions
 import com.linecorp.armeria.client.UnprocessedRequestException
@@ -18,6 +19,7 @@
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.function.Consumer
 import kotlin.time.Duration
 import kotlin.time.toJavaDuration
 
@@ -32,6 +34,7 @@
         .useHttp2Preface(false)
         .http1MaxInitialLineLength(AnswerLimits.LINE_BYTES)
         .http1MaxHeaderSize(AnswerLimits.HEADER_BYTES)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer { it.addFirst(ResetGuard()) })
         .build()
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
@@ -13,11 +13,14 @@
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import org.zinniahoist.policy.routes.RouteKind
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isTrue
+import java.util.concurrent.CountDownLatch
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -96,6 +99,26 @@
         expectThat(failure != null).isTrue()
     }
 
+    /**
+     * Guards against a stream that was reset on its way and looks complete, and against the answer of another upstream
+     * in its midst.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = ["", "transfer-encoding: chunked\r\n", "content-length: 100\r\n"])
+    fun `a stream that is reset after it has begun ends with a failure`(framing: String): Unit = runBlocking {
+        val hasBegun = CountDownLatch(1)
+        fixture.rawUpstream {
+            val names = UpstreamFixture.Names
+            text("HTTP/1.1 200 OK\r\n${names.requestIdentifier}: r1\r\n${names.answerStamp}: s\r\n$framing\r\n")
+            hasBegun.await()
+            reset()
+        }
+        val begun = forward() as ForwardedStream.Begun
+        fixture.upstream { HttpResponse.of(fixture.head(), HttpData.ofUtf8("of another upstream")) }
+        hasBegun.countDown()
+        expectThat(runCatching { begun.response.aggregate().await() }.isFailure).isTrue()
+    }
+
     /** Guards against a stream that is refused although the only upstream left would run it a moment later. */
     @Test
     fun `the only upstream left is asked again after a refusal`(): Unit = runBlocking {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
@@ -2,7 +2,6 @@
 
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.RequestHeaders
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
@@ -10,7 +9,6 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 import org.zinniahoist.gateway.entry.UpstreamFixture
-import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.RunEnd
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -19,7 +17,6 @@
 import strikt.assertions.isLessThan
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
-import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs of items on upstreams whose answers never end. */
@@ -116,25 +113,6 @@
         UNKNOWN("404 Not Found"),
     }
 
-    private class NotingObserver(private val isBusy: Boolean = false) : RunObserver {
-        val ended = CompletableDeferred<RunEnd>()
-        val events = AtomicLong()
-
-        override fun onBegin(version: WeightVersion?) = Unit
-
-        override fun onEvent(event: StreamEvent) {
-            events.incrementAndGet()
-        }
-
-        override fun onEnd(end: RunEnd) {
-            ended.complete(end)
-        }
-
-        override fun whenTaken(action: () -> Unit) {
-            if (!isBusy) action()
-        }
-    }
-
     private companion object {
         const val TOKENS = 271
         val BOUND = 8.seconds
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/NotingObserver.kt
@@ -0,0 +1,26 @@
+package org.zinniahoist.gateway.upstream
+
+import kotlinx.coroutines.CompletableDeferred
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.RunEnd
+import java.util.concurrent.atomic.AtomicLong
+
+/** Counts the events of a run and notes its end; one that [isBusy] takes none of what it is told. */
+internal open class NotingObserver(private val isBusy: Boolean = false) : RunObserver {
+    val ended = CompletableDeferred<RunEnd>()
+    val events = AtomicLong()
+
+    override fun onBegin(version: WeightVersion?) = Unit
+
+    override fun onEvent(event: StreamEvent) {
+        events.incrementAndGet()
+    }
+
+    override fun onEnd(end: RunEnd) {
+        ended.complete(end)
+    }
+
+    override fun whenTaken(action: () -> Unit) {
+        if (!isBusy) action()
+    }
+}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/RawUpstream.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/RawUpstream.kt
@@ -97,6 +97,15 @@
 ) {
     fun text(text: String) = write(text.encodeToByteArray())
 
+    /** Closes the connection in order. */
+    fun close() = socket.close()
+
+    /** Resets the connection. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     /** Writes pieces until the caller closes the connection. */
     fun withoutEnd(piece: (Long) -> String) {
         var number = 0L
