--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -1,7 +1,6 @@
 package org.zinniahoist.gateway.core
 
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
@@ -143,20 +142,11 @@
     private suspend fun readList() {
         while (true) {
             val reading = links.upstreams.begin(clock())
-            if (host().status.isLeader) readListOnce(reading)
+            if (host().status.isLeader) listReader.readGuarded { onList(reading, it) }
             delay(if (host().status.isLeader) LIST_INTERVAL else LEADER_CHECK)
         }
     }
 
-    /** A list that can't be read must not be the last one that is asked for. */
-    private suspend fun readListOnce(reading: UpstreamPublisher.Reading) = try {
-        listReader.read()?.let { onList(reading, it) } ?: Unit
-    } catch (cancelled: CancellationException) {
-        throw cancelled
-    } catch (fault: Exception) {
-        logger.error(fault) { "event=list-reading-failed" }
-    }
-
     private fun onList(reading: UpstreamPublisher.Reading, entries: List<ListedUpstream>) {
         links.upstreams.publish(reading, entries, clock())
         thread.post { engine.relist(entries) }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
@@ -52,7 +52,7 @@
     suspend fun keepFresh() {
         while (true) {
             val age = refreshedAt?.let { clock() - it }
-            if (age == null || age >= STALE_AFTER) reader.read()?.let(::refresh)
+            if (age == null || age >= STALE_AFTER) reader.readGuarded(::refresh)
             delay(CHECK_INTERVAL)
         }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.upstream
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
 import org.zinniahoist.gateway.dialect.ListPage
 import org.zinniahoist.gateway.dialect.OutboundPaths
 import org.zinniahoist.model.Endpoint
@@ -14,6 +15,20 @@
     private val calls: UpstreamCalls,
     private val endpoint: Endpoint,
 ) {
+    /**
+     * Reads the list and hands it to [use]. A failure of either is logged and ends nothing: a list that can't be read or
+     * used must not be the last one that is asked for.
+     */
+    suspend fun readGuarded(use: (List<ListedUpstream>) -> Unit): Unit = try {
+        read()?.let { use(it.distinctBy(ListedUpstream::identity)) } ?: Unit
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (fault: Exception) {
+        logger.error(fault) { "event=list-reading-failed" }
+    } catch (fault: StackOverflowError) {
+        logger.error(fault) { "event=list-reading-failed" }
+    }
+
     /** Returns all entries, or null if a page can't be had: half a list would look as if upstreams were gone. */
     suspend fun read(): List<ListedUpstream>? {
         val entries = ArrayList<ListedUpstream>()
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ListReaderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ListReaderTest.kt
@@ -8,6 +8,7 @@
 import org.zinniahoist.gateway.dialect.OutboundPaths
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThan
 import strikt.assertions.isNull
 import kotlin.time.Duration.Companion.seconds
@@ -29,6 +30,22 @@
         expectThat(pages.written).isLessThan(MOST_BYTES)
     }
 
+    /** Guards against a process that no longer follows the list, because one reading of it could not be read or used. */
+    @Test
+    fun `a reading that fails ends nothing, and an identity counts once`(): Unit = runBlocking {
+        val pages = fixture.rawUpstream { text("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}") }
+        var decode: () -> ListPage? = { throw StackOverflowError() }
+        val reader = ListReader(Paths, { decode() }, fixture.calls, pages.endpoint)
+        val read = ArrayList<Int>()
+        reader.readGuarded { read += it.size }
+        decode = { error("no page") }
+        reader.readGuarded { read += it.size }
+        decode = { ListPage(fixture.upstreams.listed + fixture.upstreams.listed, unreadable = 0, nextToken = null) }
+        reader.readGuarded { error("no use") }
+        reader.readGuarded { read += it.size }
+        expectThat(read).isEqualTo(arrayListOf(fixture.upstreams.listed.size))
+    }
+
     private object Paths : OutboundPaths {
         override val report = "/report"
         override val order = "/order"
