Part the loads, the demands of jobs and the tests of a change of leader from their files; show texts in the line memory

What jobs ask of a model is read once a tick instead of once for each upstream. The line `memory` and its gauges state the bytes of recorded texts.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -15,11 +15,9 @@
 import org.zinniahoist.policy.dispatch.DispatchAction
 import org.zinniahoist.policy.dispatch.ItemDispatcher
 import org.zinniahoist.policy.dispatch.ItemKey
-import org.zinniahoist.policy.dispatch.JobWork
 import org.zinniahoist.policy.dispatch.LateJob
 import org.zinniahoist.policy.dispatch.ModelDemand
 import org.zinniahoist.policy.dispatch.ModelWork
-import org.zinniahoist.policy.dispatch.RecentWork
 import org.zinniahoist.policy.dispatch.RunEnd
 import org.zinniahoist.policy.dispatch.UpstreamBoard
 import org.zinniahoist.policy.routes.Route
@@ -29,8 +27,6 @@
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.ServiceStateMachine
 import kotlin.random.Random
-import kotlin.time.Duration
-import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
 /**
@@ -47,7 +43,7 @@
     textLog: TextLog,
     private val post: (() -> Unit) -> Unit,
     private val clock: () -> Moment,
-    private val wallMilliseconds: () -> Long,
+    wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
     random: Random = Random.Default,
 ) {
@@ -59,7 +55,7 @@
     private val textRecorder = TextRecorder(machine, textLog, metrics)
     private val ages = JobAges()
     private val planner = JobPlanner(machine, ages, wallMilliseconds, random)
-    private val recentWork = RecentWork()
+    private val demands = JobDemands(wallMilliseconds)
 
     /** Jobs whose items were given to the dispatcher, with the services to which their route allowed these to go. */
     private val begun = HashMap<JobIdentifier, Set<ServiceName>>()
@@ -111,7 +107,7 @@
     fun onJob(record: JobRecord) {
         val identifier = record.job.identifier
         if (record.isEnded) ages.forget(identifier) else ages.learn(identifier, clock())
-        noteWork(record)
+        demands.onJob(record, clock())
         if (!isActive) return
         if (record.isEnded) {
             if (identifier in begun) end(identifier)
@@ -121,15 +117,6 @@
         }
     }
 
-    private fun noteWork(record: JobRecord) {
-        val job = record.job
-        val step = job.step ?: return
-        val age = (wallMilliseconds() - record.submittedMilliseconds).milliseconds.coerceAtLeast(Duration.ZERO)
-        val work = JobWork(job.identifier.value, step.model, job.expectedTokens, step.minimumVersion)
-        recentWork.onSubmitted(work, clock() - age)
-        if (record.isEnded) recentWork.onEnded(job.identifier.value)
-    }
-
     /** True if an open job of the model wants each sample from the same weights. */
     fun needsSingleVersion(): Boolean = machine.jobs.any { record ->
         !record.isEnded && routes?.find(record.job.host, record.job.path)?.batch?.singleVersion == true
@@ -142,7 +129,7 @@
     fun lateJobs(): List<LateJob> = dispatcher.lateJobs(clock())
 
     /** Returns what the jobs of [model] ask of the upstreams. */
-    fun demand(model: ModelName): ModelDemand = recentWork.demand(model, clock())
+    fun demand(model: ModelName): ModelDemand = demands.of(model, clock())
 
     /** Carries out what is due now. */
     fun tick() {
@@ -161,7 +148,7 @@
         val identifiers = open.map { it.job.identifier }.toSet()
         identifiers.forEach { ages.learn(it, now) }
         ages.retain(identifiers)
-        recentWork.retainOpen(identifiers.mapTo(HashSet()) { it.value })
+        demands.retainOpen(identifiers)
         (begun.keys - identifiers).forEach(::end)
         open.sortedBy { it.submittedMilliseconds }.forEach { beginGuarded(it, now) }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -141,6 +141,7 @@
             jobs = kept.size,
             resultBytes = kept.sumOf { it.resultBytes },
             bodyBytes = kept.sumOf { it.bodyBytes },
+            textBytes = kept.sumOf { it.textBytes },
             waiting = host.waiting,
             unsent = links.unsent,
             calls = links.callsInProgress,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemoryLog.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemoryLog.kt
@@ -20,6 +20,7 @@
  *
  * @property resultBytes bytes of the listed results of all jobs.
  * @property bodyBytes bytes of the bodies of all jobs.
+ * @property textBytes bytes of the recorded texts of items without a result.
  * @property unsent what waits for sending, by link.
  * @property calls calls of other processes without an answer.
  */
@@ -28,6 +29,7 @@
     val jobs: Int = 0,
     val resultBytes: Long = 0,
     val bodyBytes: Long = 0,
+    val textBytes: Long = 0,
     val waiting: WaitingEvents = WaitingEvents(0, 0),
     val unsent: List<UnsentFrames> = emptyList(),
     val calls: Int = 0,
@@ -80,7 +82,7 @@
         val largest = unsent.maxOfOrNull { it.bytes } ?: 0
         "event=memory heap=${present.used} heap-least=$least heap-most=$most heap-maximum=${present.maximum} " +
             "log-entries=${log.entries} log-bytes=${log.commandBytes} snapshot-bytes=${log.snapshotBytes} " +
-            "replicated-bytes=${log.sentBytes} jobs=$jobs result-bytes=$resultBytes body-bytes=$bodyBytes " +
+            "replicated-bytes=${log.sentBytes} jobs=$jobs result-bytes=$resultBytes body-bytes=$bodyBytes text-bytes=$textBytes " +
             "replica-events=${waiting.events} replica-event-bytes=${waiting.messageBytes} " +
             "links=${unsent.size} unsent-frames=${unsent.sumOf { it.frames }} " +
             "unsent-bytes=${unsent.sumOf { it.bytes }} unsent-bytes-of-one=$largest calls=$calls " +
@@ -104,6 +106,7 @@
             "replicated_bytes" to Gauge("Commands and snapshots sent to replicas, in bytes.") { it.log.sentBytes },
             "result_bytes" to Gauge("Listed results of all jobs, in bytes.") { it.resultBytes },
             "body_bytes" to Gauge("Bodies of all jobs, in bytes.") { it.bodyBytes },
+            "text_bytes" to Gauge("Recorded texts of unfinished items, in bytes.") { it.textBytes },
             "replica_event_bytes" to Gauge("Messages that wait for the replica, in bytes.") { it.waiting.messageBytes },
             "unsent_bytes" to Gauge("Frames that wait on all links, in bytes.") { size ->
                 size.unsent.sumOf { it.bytes }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/BatchEngineTest.kt
@@ -2,14 +2,10 @@
 
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
-import org.zinniahoist.model.ModelName
-import org.zinniahoist.model.WeightVersion
-import org.zinniahoist.policy.dispatch.ModelDemand
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
-import org.zinniahoist.state.service.StepTerms
 import org.zinniahoist.wire.ServiceReply
 import strikt.api.expectThat
 import strikt.assertions.hasSize
@@ -38,50 +34,6 @@
         expectThat(fixture.eventually { fixture.proposed.size == 2 }).isTrue()
     }
 
-    /** Guards against items that begin anew after a change of the leader, so that a step misses its time. */
-    @Test
-    fun `a new leader goes on after the text that the one before received`() {
-        fixture.answersEnd = false
-        fixture.eventsOfAnswer = 30
-        fixture.routes(EngineFixture.route())
-        fixture.submit("j", EngineFixture.item("a", tokens = 100))
-        fixture.activate()
-        expectThat(fixture.eventually { fixture.recordedEvents("j", "a") == 30 }).isTrue()
-        fixture.activate()
-        expectThat(fixture.eventually { fixture.asked.size == 2 }).isTrue()
-        expectThat(fixture.askedAfter.toList()).isEqualTo(listOf(0L, 30L))
-        expectThat(fixture.eventually { fixture.recordedEvents("j", "a") == 60 }).isTrue()
-    }
-
-    /** Guards against the cost of a command for each event of each item. */
-    @Test
-    fun `a short text is not recorded`() {
-        fixture.answersEnd = false
-        fixture.eventsOfAnswer = 10
-        fixture.routes(EngineFixture.route())
-        fixture.submit("j", EngineFixture.item("a"))
-        fixture.activate()
-        expectThat(fixture.eventually { fixture.asked.isNotEmpty() }).isTrue()
-        fixture.pass(600.milliseconds)
-        expectThat(fixture.recordedEvents("j", "a")).isEqualTo(0)
-    }
-
-    /**
-     * Guards against a model that a new leader leaves without upstreams, because its trainer is between two steps when
-     * the leader changes.
-     */
-    @Test
-    fun `a model whose step has just ended keeps its work under a new leader`() {
-        val model = ModelName("m")
-        fixture.routes(EngineFixture.route())
-        fixture.submit("j", EngineFixture.item("a"), step = StepTerms(1, model, WeightVersion(1), wantedGroups = 1))
-        fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
-        fixture.activate()
-        expectThat(fixture.demand(model)).isEqualTo(ModelDemand(tokens = 10, WeightVersion(1)))
-        fixture.advance += 11.seconds
-        expectThat(fixture.demand(model)).isEqualTo(ModelDemand())
-    }
-
     /** Guards against a job that is never begun because its route came after it. */
     @Test
     fun `begins a job when its route comes`() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/MemoryLogTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/MemoryLogTest.kt
@@ -19,6 +19,7 @@
         jobs = 2,
         resultBytes = 400,
         bodyBytes = 30,
+        textBytes = 25,
         waiting = WaitingEvents(events = 5, messageBytes = 90),
         unsent = listOf(UnsentFrames(2, 1_000), UnsentFrames(1, 10)),
         calls = 4,
@@ -35,8 +36,8 @@
         log.tick(Moment.ZERO) { size }
         expectThat(lines).single().isEqualTo(
             "event=memory heap=100 heap-least=100 heap-most=100 heap-maximum=1000 log-entries=3 log-bytes=700 " +
-                "snapshot-bytes=50 replicated-bytes=2100 jobs=2 result-bytes=400 body-bytes=30 replica-events=5 " +
-                "replica-event-bytes=90 links=2 unsent-frames=3 unsent-bytes=1010 unsent-bytes-of-one=1000 calls=4 " +
+                "snapshot-bytes=50 replicated-bytes=2100 jobs=2 result-bytes=400 body-bytes=30 text-bytes=25 " +
+                "replica-events=5 replica-event-bytes=90 links=2 unsent-frames=3 unsent-bytes=1010 unsent-bytes-of-one=1000 calls=4 " +
                 "runs=6 unlisted-results=1 text-characters=80",
         )
         expectThat(metrics.text()).contains("zinniahoist_memory_unsent_bytes 1010.0")
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -1,6 +1,5 @@
 package org.zinniahoist.policy.dispatch
 
-import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
@@ -8,42 +7,6 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** What an upstream says of itself. */
-public data class UpstreamReport(
-    public val versions: Map<ModelName, WeightVersion>,
-    /** True while an order is in progress. */
-    public val isBusy: Boolean,
-    /** Orders that the upstream has accepted since its start. */
-    public val acceptedOrders: Long,
-)
-
-/** What happens to requests that run while new weights are loaded. */
-public enum class LoadMode {
-    /** Runs finish first. */
-    WAIT,
-
-    /** Runs go on under the new weights. */
-    KEEP,
-}
-
-/** How an upstream answered an order. */
-public enum class OrderAnswer { ACCEPTED, HOLDS_ALREADY, CONFLICT, STALE_FENCE, UNKNOWN }
-
-/** What the shell has to do for a [WeightLoader]. */
-public sealed interface LoadAction {
-    /** Read the report of [upstream]. */
-    public data class ReadReport(public val upstream: ListedUpstream) : LoadAction
-
-    /** Order [upstream] to load [version]; it must have accepted [expectedOrders] orders before. */
-    public data class Order(
-        public val upstream: ListedUpstream,
-        public val model: ModelName,
-        public val version: WeightVersion,
-        public val mode: LoadMode,
-        public val expectedOrders: Long,
-    ) : LoadAction
-}
-
 /**
  * Brings the upstreams of each model to its newest named weights, a few at a time: first those that lack most versions,
  * among these the idlest. Upstreams whose weights the work still allows are not interrupted once half of them are new.
@@ -55,7 +18,7 @@
     private val loadTime: Duration = LOAD_TIME,
 ) {
     private val targets = LinkedHashMap<ModelName, WeightVersion>()
-    private val loads = LinkedHashMap<UpstreamIdentity, Load>()
+    private val loads = LinkedHashMap<UpstreamIdentity, WeightLoad>()
     private val rests = HashMap<UpstreamIdentity, Rest>()
     private val homes = ModelHomes(board)
 
@@ -86,7 +49,7 @@
         rests.keys.removeIf { board.card(it) == null }
         homes.assign(targets) { demand(it).tokens }
         val actions = loads.values.mapNotNull { advance(it, now, modeOf) }
-        return actions + begin(now) { demand(it).minimumVersion }
+        return actions + begin(now, targets.keys.associateWith { demand(it).minimumVersion })
     }
 
     /** Returns what each named model has of the upstreams. */
@@ -101,7 +64,7 @@
         )
     }
 
-    private fun begin(now: Moment, minimumOf: (ModelName) -> WeightVersion?): List<LoadAction> {
+    private fun begin(now: Moment, minimums: Map<ModelName, WeightVersion?>): List<LoadAction> {
         val candidates = targets.flatMap { (model, version) -> candidates(model, version, now) }
             .sortedWith(compareBy({ -it.behind }, { it.runs }))
         val actions = ArrayList<LoadAction>()
@@ -109,9 +72,9 @@
             if (loads.size >= limitOf(homes.total, SHARE_AT_ONCE)) break
             val others = loads.values.count { it.model == candidate.model }
             if (others >= limitOf(homes.count(candidate.model), SHARE_OF_MODEL_AT_ONCE)) continue
-            if (isSparedFor(candidate, minimumOf(candidate.model))) continue
+            if (isSparedFor(candidate, minimums[candidate.model])) continue
             val upstream = candidate.card.listed
-            loads[upstream.identity] = Load(candidate.card, candidate.model, candidate.version, askedAt = now)
+            loads[upstream.identity] = WeightLoad(candidate.card, candidate.model, candidate.version, askedAt = now)
             actions += LoadAction.ReadReport(upstream)
         }
         return actions
@@ -146,7 +109,7 @@
     private fun isResting(card: UpstreamCard, now: Moment): Boolean =
         rests[card.listed.identity]?.let { now < it.until } == true
 
-    private fun advance(load: Load, now: Moment, modeOf: (ModelName) -> LoadMode): LoadAction? {
+    private fun advance(load: WeightLoad, now: Moment, modeOf: (ModelName) -> LoadMode): LoadAction? {
         val report = load.report
         val orderedAt = load.orderedAt
         return when {
@@ -162,7 +125,7 @@
     }
 
     private fun order(
-        load: Load,
+        load: WeightLoad,
         report: UpstreamReport,
         now: Moment,
         modeOf: (ModelName) -> LoadMode,
@@ -193,7 +156,7 @@
     }
 
     /** One lost order is given again at once. After more, the upstream works under its old weights for a while. */
-    private fun orderAgainOrRest(load: Load, report: UpstreamReport, now: Moment) {
+    private fun orderAgainOrRest(load: WeightLoad, report: UpstreamReport, now: Moment) {
         val identity = load.card.listed.identity
         val rested = rests[identity]?.times ?: 0
         if (rested == 0 && !load.isRepeated) return load.restart(report)
@@ -203,7 +166,7 @@
     }
 
     /** An order that was accepted shows in the number of orders; the report lags a little. */
-    private fun isLost(load: Load, report: UpstreamReport, now: Moment): Boolean {
+    private fun isLost(load: WeightLoad, report: UpstreamReport, now: Moment): Boolean {
         val orderedAt = load.orderedAt ?: return false
         val before = load.report?.acceptedOrders ?: return true
         return report.acceptedOrders != before || now - orderedAt >= REPORT_LAG
@@ -220,17 +183,17 @@
         }
     }
 
-    private fun succeed(load: Load) {
+    private fun succeed(load: WeightLoad) {
         rests.remove(load.card.listed.identity)
         finish(load)
     }
 
-    private fun finish(load: Load) {
+    private fun finish(load: WeightLoad) {
         loads.remove(load.card.listed.identity)
         load.card.isLoading = false
     }
 
-    private fun abandon(load: Load, now: Moment) {
+    private fun abandon(load: WeightLoad, now: Moment) {
         finish(load)
         board.onFailure(load.card.listed.identity, now)
     }
@@ -251,36 +214,10 @@
         val until: Moment,
     )
 
-    private class Load(
-        val card: UpstreamCard,
-        val model: ModelName,
-        val version: WeightVersion,
-        var askedAt: Moment,
-    ) {
-        var report: UpstreamReport? = null
-        var orderedAt: Moment? = null
-        var misses = 0
-        var isRepeated = false
-
-        fun nextQuestion(loadTime: Duration): Moment {
-            val ordered = orderedAt ?: return askedAt + QUESTION_INTERVAL
-            return maxOf(ordered + loadTime, askedAt + QUESTION_INTERVAL)
-        }
-
-        fun restart(newReport: UpstreamReport) {
-            report = newReport
-            orderedAt = null
-            isRepeated = true
-        }
-    }
-
     private companion object {
         /** Loading rarely takes less, so an earlier question would only cost. */
         val LOAD_TIME = 900.milliseconds
 
-        /** Time between two questions to an upstream that should have finished. */
-        val QUESTION_INTERVAL = 250.milliseconds
-
         /** An order that a report doesn't show after this time was not accepted. */
         val REPORT_LAG = 1_500.milliseconds
         const val MISSES_BEFORE_GIVING_UP = 3
--- a/state/src/main/kotlin/org/zinniahoist/state/service/RecordedText.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/RecordedText.kt
@@ -37,6 +37,8 @@
         versions: List<WeightVersion>,
     ) : this(item, text, after, lastNumber, TextCompression.packBytes(StateCodec.encode(events)), versions)
 
+    internal val bytes: Int get() = packedEvents.size
+
     /** Data of the events of this part, in order. */
     public fun events(): List<String> = StateCodec.decode(TextCompression.expandBytes(packedEvents))
 }
@@ -52,6 +54,9 @@
     /** All versions that generated an event, in order of their first use. */
     public val versions: List<WeightVersion> get() = parts.last().versions
 
+    /** Bytes of the text as it is kept. */
+    public val bytes: Long get() = parts.sumOf { it.bytes.toLong() }
+
     /** Data of all events, in order. */
     public fun events(): List<String> = parts.flatMap { it.events() }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -51,6 +51,9 @@
     /** Bytes of the bodies of all items. */
     public val bodyBytes: Long by lazy { job.items.sumOf { it.body.size.toLong() } }
 
+    /** Bytes of the recorded texts of items without a result. */
+    public val textBytes: Long get() = textsByItem.values.sumOf { it.bytes }
+
     /** Results by position. */
     public val results: List<ListedResult> get() = listed
 
