--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -173,9 +173,9 @@
         val plan = planner.plan(record, route, open, now)
         val isFirst = begun.put(job.identifier, route.services) == null
         logger.info {
-            "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} model=${job.step?.model} " +
-                "step=${job.step?.step} items=${job.items.size} open=${open.size} reused=${plan.reused.size} " +
-                "resumed=${plan.resumed} " +
+            "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} " +
+                "model=${job.step?.model} step=${job.step?.step} items=${job.items.size} open=${open.size} " +
+                "reused=${plan.reused.size} resumed=${plan.resumed} " +
                 "minimum-version=${job.step?.minimumVersion}"
         }
         if (!isFirst) metrics.onEvent("job", "begun_again")
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobDemands.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobDemands.kt
@@ -11,8 +11,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Follows the record of the jobs, on each replica, for what they ask of the upstreams. All functions run on the engine's
- * thread.
+ * Follows the record of the jobs, on each replica, for what they ask of the upstreams. All functions run on the
+ * engine's thread.
  */
 internal class JobDemands(private val wallMilliseconds: () -> Long) {
     private val recentWork = RecentWork()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemoryLog.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MemoryLog.kt
@@ -82,7 +82,8 @@
         val largest = unsent.maxOfOrNull { it.bytes } ?: 0
         "event=memory heap=${present.used} heap-least=$least heap-most=$most heap-maximum=${present.maximum} " +
             "log-entries=${log.entries} log-bytes=${log.commandBytes} snapshot-bytes=${log.snapshotBytes} " +
-            "replicated-bytes=${log.sentBytes} jobs=$jobs result-bytes=$resultBytes body-bytes=$bodyBytes text-bytes=$textBytes " +
+            "replicated-bytes=${log.sentBytes} jobs=$jobs result-bytes=$resultBytes body-bytes=$bodyBytes " +
+            "text-bytes=$textBytes " +
             "replica-events=${waiting.events} replica-event-bytes=${waiting.messageBytes} " +
             "links=${unsent.size} unsent-frames=${unsent.sumOf { it.frames }} " +
             "unsent-bytes=${unsent.sumOf { it.bytes }} unsent-bytes-of-one=$largest calls=$calls " +
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/TextRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/TextRecorder.kt
@@ -22,8 +22,8 @@
  * Records the texts of long items as they grow, so that the next leader goes on after them. All functions run on the
  * engine's thread.
  *
- * What is recorded is read from the replicated state each time. A part that is lost is made again with the next one, and
- * a part that does not follow the recorded text is ignored by the state.
+ * What is recorded is read from the replicated state each time. A part that is lost is made again with the next one,
+ * and a part that does not follow the recorded text is ignored by the state.
  */
 internal class TextRecorder(
     private val machine: ServiceStateMachine,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ListReader.kt
@@ -16,8 +16,8 @@
     private val endpoint: Endpoint,
 ) {
     /**
-     * Reads the list and hands it to [use]. A failure of either is logged and ends nothing: a list that can't be read or
-     * used must not be the last one that is asked for.
+     * Reads the list and hands it to [use]. A failure of either is logged and ends nothing: a list that can't be read
+     * or used must not be the last one that is asked for.
      */
     suspend fun readGuarded(use: (List<ListedUpstream>) -> Unit): Unit = try {
         read()?.let { use(it.distinctBy(ListedUpstream::identity)) } ?: Unit
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ResetGuard.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ResetGuard.kt
@@ -11,8 +11,8 @@
 /**
  * Keeps an answer that ends with its connection from passing as complete if the connection failed.
  *
- * The HTTP codec takes each end of a connection for the end of a body without a length. A connection that fails, as by a
- * reset, says so before it ends; from then on no end of a body is let through, and the response fails with its
+ * The HTTP codec takes each end of a connection for the end of a body without a length. A connection that fails, as by
+ * a reset, says so before it ends; from then on no end of a body is let through, and the response fails with its
  * connection.
  */
 internal class ResetGuard : ChannelInboundHandlerAdapter() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -44,7 +44,10 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A [BatchEngine] on its own thread, with a replicated state that the test changes and an upstream on the loopback. */
+/**
+ * A [BatchEngine] on its own thread, with a replicated state that the test
+ * changes and an upstream on the loopback.
+ */
 internal class EngineFixture :
     AutoCloseable,
     ServiceListener {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/MemoryLogTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/MemoryLogTest.kt
@@ -37,8 +37,8 @@
         expectThat(lines).single().isEqualTo(
             "event=memory heap=100 heap-least=100 heap-most=100 heap-maximum=1000 log-entries=3 log-bytes=700 " +
                 "snapshot-bytes=50 replicated-bytes=2100 jobs=2 result-bytes=400 body-bytes=30 text-bytes=25 " +
-                "replica-events=5 replica-event-bytes=90 links=2 unsent-frames=3 unsent-bytes=1010 unsent-bytes-of-one=1000 calls=4 " +
-                "runs=6 unlisted-results=1 text-characters=80",
+                "replica-events=5 replica-event-bytes=90 links=2 unsent-frames=3 unsent-bytes=1010 " +
+                "unsent-bytes-of-one=1000 calls=4 runs=6 unlisted-results=1 text-characters=80",
         )
         expectThat(metrics.text()).contains("zinniahoist_memory_unsent_bytes 1010.0")
         expectThat(metrics.text()).contains("zinniahoist_memory_heap_bytes 100.0")
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ListReaderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ListReaderTest.kt
@@ -30,7 +30,10 @@
         expectThat(pages.written).isLessThan(MOST_BYTES)
     }
 
-    /** Guards against a process that no longer follows the list, because one reading of it could not be read or used. */
+    /**
+     * Guards against a process that no longer follows the list, because one reading of
+     * it could not be read or used.
+     */
     @Test
     fun `a reading that fails ends nothing, and an identity counts once`(): Unit = runBlocking {
         val pages = fixture.rawUpstream { text("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}") }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -10,8 +10,8 @@
 /**
  * Decides which item runs on which upstream, and what becomes of broken runs.
  *
- * Items of the job that is due first go first; in a job, those that an earlier job already held, then the longest ones.
- * Text that was received is kept, and another run goes on after it.
+ * Items of the job that is due first go first; in a job, those that an earlier job already held, then the longest
+ * ones. Text that was received is kept, and another run goes on after it.
  */
 public class ItemDispatcher(
     public val board: UpstreamBoard = UpstreamBoard(),
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -8,7 +8,8 @@
 import kotlin.time.Duration.Companion.milliseconds
 
 /**
- * Brings the upstreams of each model to its newest named weights, a few at a time: first those that lack most versions,
+ * Brings the upstreams of each model to its newest named weights, a few at a time: first those that lack most
+ * versions,
  * among these the idlest. Upstreams whose weights the work still allows are not interrupted once half of them are new.
  *
  * Each order names the number of orders accepted before, so that one that is carried out late has no effect.
@@ -84,12 +85,13 @@
      * Returns true if the upstream of [candidate] goes on under its weights, which the newest job of the model allows.
      *
      * Each load stops the runs of its model for about a second. Where weights are allowed that are older than the
-     * newest, it is enough if half of a model's upstreams get each version. One that lacks more versions is not spared,
-     * as the next job will hardly allow its weights.
+     * newest, it is enough if half of a model's upstreams get each version. One that lacks more versions is not
+     * spared, as the next job will hardly allow its weights.
      */
     private fun isSparedFor(candidate: Candidate, minimum: WeightVersion?): Boolean {
         val held = candidate.card.version(candidate.model) ?: return false
-        if (minimum == null || held < minimum || candidate.behind > 1 || candidate.runs == 0) return false
+        if (minimum == null || held < minimum) return false
+        if (candidate.behind > 1 || candidate.runs == 0) return false
         val current = board.all.count { card ->
             homes.isHome(card, candidate.model) &&
                 card.version(candidate.model)?.let { it >= candidate.version } == true
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsTest.kt
@@ -33,8 +33,8 @@
     }
 
     /**
-     * Guards against a class that is starved on days with several changes of the leader: all open items began anew, and
-     * models that had little open work at that moment lost their upstreams.
+     * Guards against a class that is starved on days with several changes of the leader: all open items began anew,
+     * and models that had little open work at that moment lost their upstreams.
      */
     @Test
     fun `each model earns its floor though the leader is lost again and again`() {
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SimulatedUpstream.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SimulatedUpstream.kt
@@ -22,8 +22,8 @@
 }
 
 /**
- * An upstream that makes events at a steady pace and may be down for a time. While it loads weights of a model, runs of
- * this model stand still.
+ * An upstream that makes events at a steady pace and may be down for a time. While it loads weights of a model, runs
+ * of this model stand still.
  */
 internal class SimulatedUpstream(
     val name: String,
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
@@ -46,8 +46,8 @@
     ) : ServiceCommand
 
     /**
-     * Records texts of items that are not finished, so that the next leader goes on after them. Parts that don't follow
-     * what is recorded, and parts of items that are listed, are ignored.
+     * Records texts of items that are not finished, so that the next leader goes on after them. Parts that don't
+     * follow what is recorded, and parts of items that are listed, are ignored.
      */
     @Serializable
     @SerialName("text")
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -152,8 +152,8 @@
         public val DEFAULT_RETENTION: Duration = 10.minutes
 
         /**
-         * The two minutes for which trainers read results, and the difference of two leaders' clocks, each of which may
-         * be off by 6 s in either direction.
+         * The two minutes for which trainers read results, and the difference of two leaders' clocks, each of which
+         * may be off by 6 s in either direction.
          */
         public val DEFAULT_ENDED_RETENTION: Duration = 150.seconds
     }
