Forget ended jobs on replicas that do not lead as well

Read in review of the division by work handed in: old jobs were forgotten when the demand was asked for, which only a leader does, so a follower kept an entry for each job of its life. They are now forgotten with each submission. The new test had 100 entries before.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -34,6 +34,7 @@
     var restart = false
 }
 
+/** Returns what became of an item that has no result in time. */
 internal fun ItemState.lateItem(): LateItem = LateItem(
     key = work.key,
     upstream = run?.upstream?.value,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/RecentWork.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/RecentWork.kt
@@ -35,8 +35,12 @@
 public class RecentWork(private val span: Duration = SPAN) {
     private val entries = HashMap<String, Entry>()
 
+    /** Jobs that are known. */
+    internal val size: Int get() = entries.size
+
     /** The job of [work] was handed in at [at]. A job that is known already is left as it is. */
     public fun onSubmitted(work: JobWork, at: Moment) {
+        forgetOld(at)
         entries.putIfAbsent(work.job, Entry(work, at))
     }
 
@@ -52,11 +56,16 @@
 
     /** Returns what the jobs of [model] ask at [now]. */
     public fun demand(model: ModelName, now: Moment): ModelDemand {
-        entries.values.removeIf { !it.isOpen && now - it.submittedAt >= span }
+        forgetOld(now)
         val present = entries.values.filter { it.work.model == model }
         return ModelDemand(present.sumOf { it.work.tokens }, present.maxOfOrNull { it.work.minimumVersion })
     }
 
+    /** Also done where nobody asks for the demand, as on a replica that does not lead. */
+    private fun forgetOld(now: Moment) {
+        entries.values.removeIf { !it.isOpen && now - it.submittedAt >= span }
+    }
+
     private class Entry(
         val work: JobWork,
         val submittedAt: Moment,
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/RecentWorkTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/RecentWorkTest.kt
@@ -46,6 +46,16 @@
         expectThat(work.demand(ModelName("other"), start)).isEqualTo(ModelDemand())
     }
 
+    /** Guards against the memory of a replica that never leads: nobody asks it for a demand. */
+    @Test
+    fun `ended jobs are forgotten with later submissions`() {
+        repeat(100) { number ->
+            work.onSubmitted(job("j$number"), start + number.seconds)
+            work.onEnded("j$number")
+        }
+        expectThat(work.size).isEqualTo(10)
+    }
+
     /** Guards against upstreams that are spared a load although the newest step doesn't allow their weights. */
     @Test
     fun `the newest job states the oldest weights`() {
