Dispatch: find the upstreams of a tick once for all items

Callers saw: rollouts of the grown sites that came late while the leader's engine thread took 15 to 30 in 100 of a core.

Cause: each tick, and with it the end of each run, searched all upstreams again for each waiting item, sorted the paces of all upstreams for each run, and each run that was broken off sorted all waiting items. The work grew with the product of items and upstreams.

Fix: a PlacementView finds the upstreams once for all items that ask for the same service, model and weights, and follows the runs that begin. The median pace is computed once a tick. Items wait in an ordered set. place() only starts items, for callers that know that a place came free.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -150,20 +150,26 @@
         }
     }
 
-    /** Starts what can be started, moves what has stalled, gives up what is too old. */
+    /** Gives up what is too old, moves what has stalled, starts what can be started. */
     public fun tick(now: Moment): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
-        for (state in table.all.toList()) {
-            if (now >= state.work.giveUpAt) actions += giveUp(state)
-        }
+        for (state in table.all.filter { now >= it.work.giveUpAt }) actions += giveUp(state)
+        val view = PlacementView(board, now)
         for (state in table.runningItems.toList()) {
-            if (placement.isToMove(state, waitingItems > 0, now)) actions += breakOff(state, "stalled", now)
+            if (placement.isToMove(state, waitingItems > 0, view)) actions += breakOff(state, "stalled", now)
         }
+        return actions + place(now)
+    }
+
+    /** Starts what can be started. It costs less than [tick], and is enough where places came free. */
+    public fun place(now: Moment): List<DispatchAction> {
+        if (table.waitingItems.isEmpty()) return emptyList()
         table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
-        actions += table.startWaiting(now) { placement.choose(it, now) }
+        val view = PlacementView(board, now)
+        val actions = table.startWaiting(view) { placement.choose(it, view) }
+        if (!board.hasProbes(now)) return actions
         // An item that crashes upstreams is often the most urgent one and would take each probe.
-        if (board.hasProbes(now)) actions += table.startInTurn(now) { placement.chooseProbe(it, now) }
-        return actions
+        return actions + table.startInTurn(view) { placement.chooseProbe(it, view) }
     }
 
     private fun breakOff(
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -1,7 +1,6 @@
 package org.zinniahoist.policy.dispatch
 
 import org.zinniahoist.model.Moment
-import org.zinniahoist.model.UpstreamIdentity
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -10,61 +9,50 @@
     private val board: UpstreamBoard,
     private val options: DispatchOptions,
 ) {
-    /** Returns the upstream on which the item of [state] starts at [now], or null if it has to wait. */
-    fun choose(state: ItemState, now: Moment): UpstreamCard? {
-        if (pausedUntil(state, now) != null) return null
-        return best(state, board.ready(state.work.service, now, able(state)), now)
+    /** Returns the upstream of [view] on which the item of [state] starts, or null if it has to wait. */
+    fun choose(state: ItemState, view: PlacementView): UpstreamCard? {
+        if (pausedUntil(state, view.now) != null) return null
+        return best(state, view.ready(state.need), view)
     }
 
-    /** Returns the suspended upstream that the item of [state] may probe at [now], or null. */
-    fun chooseProbe(state: ItemState, now: Moment): UpstreamCard? {
-        if (pausedUntil(state, now) != null) return null
-        return best(state, board.probes(state.work.service, now, able(state)), now)
+    /** Returns the suspended upstream of [view] that the item of [state] may probe, or null. */
+    fun chooseProbe(state: ItemState, view: PlacementView): UpstreamCard? {
+        if (pausedUntil(state, view.now) != null) return null
+        return best(state, view.probes(state.need), view)
     }
 
-    private fun able(state: ItemState): (UpstreamCard) -> Boolean = { canRun(it, state.work) }
-
     /** The least time to go over the places in use; the same upstream for a group as long as that costs little. */
-    private fun best(state: ItemState, candidates: List<UpstreamCard>, now: Moment): UpstreamCard? =
-        state.avoided.prefer(candidates, now)
-            .minByOrNull { board.paceOf(it) * (it.listed.slots + it.inFlight) }
+    private fun best(state: ItemState, candidates: List<UpstreamCard>, view: PlacementView): UpstreamCard? {
+        if (candidates.isEmpty()) return null
+        return state.avoided.prefer(candidates, view.now)
+            .minByOrNull { view.paceOf(it) * (it.listed.slots + it.inFlight) }
+    }
 
     private fun pausedUntil(state: ItemState, now: Moment): Moment? = state.notBefore?.takeIf { now < it }
 
-    private fun candidates(work: ItemWork, now: Moment): List<UpstreamCard> =
-        board.candidates(work.service, now) { canRun(it, work) }
-
-    private fun canRun(card: UpstreamCard, work: ItemWork): Boolean =
-        card.inFlight < card.listed.slots && !card.isLoading && hasWeights(card, work.terms)
-
-    private fun hasWeights(card: UpstreamCard, terms: DraftTerms?): Boolean {
-        if (terms == null) return true
-        val version = card.version(terms.model) ?: return false
-        return version >= terms.minimumVersion
-    }
+    private fun candidates(state: ItemState, now: Moment): List<UpstreamCard> =
+        board.candidates(state.work.service, now, state.need::isMetBy)
 
     /** Returns true if the run of [state] has stalled, or is slow while nothing waits and another upstream has room. */
-    fun isToMove(state: ItemState, isAnyWaiting: Boolean, now: Moment): Boolean {
+    fun isToMove(state: ItemState, isAnyWaiting: Boolean, view: PlacementView): Boolean {
         val run = state.run ?: return false
+        val now = view.now
         val limit = minOf(options.stallLimit * (1 shl state.moves.coerceAtMost(3)), options.longestStallLimit)
         val card = board.card(run.upstream)
         val allowance = if (card?.isLoading == true) options.loadAllowance else Duration.ZERO
         if (now - run.lastProgress >= limit + allowance) return true
         if (card == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
-        if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
-        return !isAnyWaiting && hasAlternative(state.work, run.upstream, now)
+        if (view.paceOf(card) < options.slowFactor * view.medianPace) return false
+        return !isAnyWaiting && view.ready(state.need).any { it.listed.identity != run.upstream }
     }
 
-    private fun hasAlternative(work: ItemWork, present: UpstreamIdentity, now: Moment): Boolean =
-        board.usable(work.service, now).any { it.listed.identity != present && canRun(it, work) }
-
     /** Returns why the item of [state] does not run at [now]. */
     fun report(state: ItemState, now: Moment): WaitReport {
         val pausedUntil = pausedUntil(state, now)
         val reason = when {
             pausedUntil != null -> WaitReason.Paused(pausedUntil - now)
-            candidates(state.work, now).isEmpty() -> WaitReason.NoCandidate
+            candidates(state, now).isEmpty() -> WaitReason.NoCandidate
             else -> WaitReason.Startable
         }
         val waited = state.waitingSince?.let { now - it } ?: Duration.ZERO
@@ -72,16 +60,15 @@
     }
 
     private fun countsFor(state: ItemState, now: Moment): UpstreamCounts {
-        val work = state.work
-        val listed = board.all.filter { it.listed.service == work.service }
-        val usable = candidates(work, now)
+        val listed = board.all.filter { it.listed.service == state.work.service }
+        val usable = candidates(state, now)
         return UpstreamCounts(
             listed = listed.size,
             usable = usable.size,
             leaving = listed.count { it.listed.isLeaving },
             suspended = listed.count { board.isSuspended(it, now) },
             loading = listed.count { it.isLoading },
-            withoutWeights = listed.count { !hasWeights(it, work.terms) },
+            withoutWeights = listed.count { !state.need.hasWeights(it) },
             withoutPlace = listed.count { it.inFlight >= it.listed.slots },
             avoided = usable.count { state.avoided.holds(it, now) },
         )
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -3,6 +3,7 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
+import java.util.TreeSet
 
 /** A run in progress. */
 internal class RunState(
@@ -20,10 +21,14 @@
     val work: ItemWork,
     val avoided: AvoidedUpstreams,
 ) {
+    val need = PlacementNeed(work)
     var text = work.text
     var run: RunState? = null
     var notBefore: Moment? = null
 
+    /** Place among items of the same urgency, given each time that the item begins to wait. */
+    var waitNumber = 0L
+
     /** First tick that found the item waiting after its submission or its last event. */
     var waitingSince: Moment? = null
     var lastStartedAt: Moment? = null
@@ -49,14 +54,15 @@
 internal class ItemTable(private val board: UpstreamBoard) {
     private val items = LinkedHashMap<ItemKey, ItemState>()
     private val runs = HashMap<Long, ItemState>()
-    private var waiting = ArrayList<ItemState>()
+    private val waiting = TreeSet(URGENCY)
     private var nextRun = 1L
+    private var nextWait = 1L
 
     /** All items, in the order of their submission. */
     val all: Collection<ItemState> get() = items.values
 
     /** Items that wait, the most urgent first. */
-    val waitingItems: List<ItemState> get() = waiting
+    val waitingItems: Collection<ItemState> get() = waiting
 
     /** Items that run. */
     val runningItems: Collection<ItemState> get() = runs.values
@@ -70,50 +76,54 @@
     /** Adds items that are not known yet. */
     fun add(states: List<ItemState>) {
         states.forEach { items[it.work.key] = it }
-        waiting += states
-        waiting.sortWith(URGENCY)
+        states.forEach(::enqueue)
+    }
+
+    private fun enqueue(state: ItemState) {
+        state.waitNumber = nextWait++
+        waiting += state
     }
 
     fun remove(states: Collection<ItemState>) {
         states.forEach { items.remove(it.work.key) }
-        waiting.removeAll(states.toSet())
+        states.forEach { waiting.remove(it) }
     }
 
     fun clear() {
         items.clear()
         runs.clear()
-        waiting = ArrayList()
+        waiting.clear()
         board.releaseAll()
     }
 
     /** Lets the item of [state] wait again, until [notBefore] at least. */
     fun requeue(state: ItemState, notBefore: Moment?) {
         state.notBefore = notBefore
-        waiting += state
-        waiting.sortWith(URGENCY)
+        enqueue(state)
     }
 
-    /** Starts the waiting items for which [choose] returns an upstream, the most urgent first. */
-    fun startWaiting(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
-        startIn(waiting, now, choose)
+    /** Starts the waiting items for which [choose] returns an upstream of [view], the most urgent first. */
+    fun startWaiting(view: PlacementView, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
+        startIn(waiting, view, choose)
 
     /** Starts the waiting items for which [choose] returns an upstream, those first that started longest ago. */
-    fun startInTurn(now: Moment, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
-        startIn(waiting.sortedBy { it.lastStartedAt ?: it.waitingSince ?: now }, now, choose)
+    fun startInTurn(view: PlacementView, choose: (ItemState) -> UpstreamCard?): List<DispatchAction.Start> =
+        startIn(waiting.sortedBy { it.lastStartedAt ?: it.waitingSince ?: view.now }, view, choose)
 
     private fun startIn(
-        order: List<ItemState>,
-        now: Moment,
+        order: Collection<ItemState>,
+        view: PlacementView,
         choose: (ItemState) -> UpstreamCard?,
     ): List<DispatchAction.Start> {
         val actions = ArrayList<DispatchAction.Start>()
-        val started = HashSet<ItemState>()
+        val started = ArrayList<ItemState>()
         for (state in order) {
             val card = choose(state) ?: continue
-            actions += start(state, card, now)
+            actions += start(state, card, view.now)
+            view.onBegin(card)
             started += state
         }
-        if (started.isNotEmpty()) waiting.removeAll(started)
+        started.forEach { waiting.remove(it) }
         return actions
     }
 
@@ -137,10 +147,11 @@
     }
 
     private companion object {
-        val URGENCY: Comparator<ItemState> = compareBy<ItemState>(
-            { it.work.dueAt },
-            { !it.work.isCarriedOver },
-            { -it.work.expectedTokens },
-        )
+        val URGENCY: Comparator<ItemState> = Comparator<ItemState> { one, other ->
+            one.work.dueAt.compareTo(other.work.dueAt)
+        }
+            .thenComparing { one, other -> other.work.isCarriedOver.compareTo(one.work.isCarriedOver) }
+            .thenComparing { one, other -> other.work.expectedTokens.compareTo(one.work.expectedTokens) }
+            .thenComparing { one, other -> one.waitNumber.compareTo(other.waitNumber) }
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamBoard.kt
@@ -25,6 +25,9 @@
     public var isLoading: Boolean = false
 
     internal var eventMilliseconds: Double = UNKNOWN_PACE
+
+    /** Time of one event in milliseconds, or null before the first measurement. */
+    internal val knownPace: Double? get() = eventMilliseconds.takeIf { it != UNKNOWN_PACE }
     internal var failures = 0
     internal var suspendedUntil: Moment? = null
     internal var failedAt: Moment? = null
@@ -95,6 +98,10 @@
     /** Upstreams that the latest readings of the list lack, though runs may go on there. */
     private val absent = LinkedHashMap<UpstreamIdentity, UpstreamCard>()
 
+    /** Upstreams examined so far in passes over the whole list, with repetitions: a measure of what decisions cost. */
+    public var examinations: Long = 0
+        private set
+
     /** All upstreams of the latest list. */
     public val all: Collection<UpstreamCard> get() = cards.values
 
@@ -128,7 +135,7 @@
     }
 
     /** Returns the upstreams of [service] that may get new work at [now]. */
-    public fun usable(service: ServiceName, now: Moment): List<UpstreamCard> = cards.values.filter {
+    public fun usable(service: ServiceName, now: Moment): List<UpstreamCard> = examined().filter {
         it.listed.service == service && !it.listed.isLeaving && !isSuspended(it, now) && !isFull(it, now)
     }
 
@@ -149,13 +156,16 @@
      */
     public fun probes(service: ServiceName, now: Moment, canRun: (UpstreamCard) -> Boolean): List<UpstreamCard> {
         if (ready(service, now, canRun).isNotEmpty()) return emptyList()
-        return cards.values.filter {
-            it.listed.service == service && !it.listed.isLeaving && !isFull(it, now) && mayProbe(it, now) && canRun(it)
-        }
+        return probeable(service, now).filter(canRun)
+    }
+
+    /** Returns the upstreams of [service] that may get one run at [now] although they are suspended. */
+    internal fun probeable(service: ServiceName, now: Moment): List<UpstreamCard> = examined().filter {
+        it.listed.service == service && !it.listed.isLeaving && !isFull(it, now) && mayProbe(it, now)
     }
 
     /** Returns true if a suspended upstream may be probed at [now]. */
-    public fun hasProbes(now: Moment): Boolean = cards.values.any { isSuspended(it, now) && mayProbe(it, now) }
+    public fun hasProbes(now: Moment): Boolean = examined().any { isSuspended(it, now) && mayProbe(it, now) }
 
     private fun isFull(card: UpstreamCard, now: Moment): Boolean = card.fullUntil?.let { now < it } == true
 
@@ -209,15 +219,17 @@
     }
 
     /** Returns the time that one event takes on [card] in milliseconds; the median of the others if unknown. */
-    public fun paceOf(card: UpstreamCard): Double =
-        if (card.eventMilliseconds != UpstreamCard.UNKNOWN_PACE) card.eventMilliseconds else medianPace()
+    public fun paceOf(card: UpstreamCard): Double = card.knownPace ?: medianPace()
 
     /** Returns the median time of one event over all upstreams in milliseconds. */
     public fun medianPace(): Double {
-        val known = cards.values.map { it.eventMilliseconds }.filter { it != UpstreamCard.UNKNOWN_PACE }.sorted()
+        val known = examined().mapNotNull { it.knownPace }.sorted()
         return if (known.isEmpty()) DEFAULT_PACE_MILLISECONDS else known[known.size / 2]
     }
 
+    /** Returns all listed upstreams and counts them as examined. */
+    private fun examined(): Collection<UpstreamCard> = cards.values.also { examinations += it.size }
+
     private companion object {
         /** A single broken run is mostly the request's own misfortune. */
         val FIRST_SUSPENSION = 200.milliseconds
