Core: show what the engine's thread costs and how late it is

Callers saw: late rollouts, and runs that the leader broke off as stalled on all upstreams at once. Nothing said whether its own thread was late, nor which tasks took its processor.

The kinds are an enum. post(task) stays and counts as `other`.

EngineThreadTest holds the thread for 200 ms by the clock and by the processor clock, and finds both in the line; there was no such line before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -41,7 +41,7 @@
     private val machine: ServiceStateMachine,
     log: ResultLog,
     textLog: TextLog,
-    private val post: (() -> Unit) -> Unit,
+    private val post: (TaskKind, () -> Unit) -> Unit,
     private val clock: () -> Moment,
     wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
@@ -255,13 +255,15 @@
     }
 
     private inner class Observer(private val run: Long) : RunObserver {
-        override fun onBegin(version: WeightVersion?) = post { carryOut(dispatcher.onBegin(run, version, clock())) }
+        override fun onBegin(version: WeightVersion?) = post(TaskKind.RUN_BEGIN) {
+            carryOut(dispatcher.onBegin(run, version, clock()))
+        }
 
-        override fun onEvent(event: StreamEvent) = post {
+        override fun onEvent(event: StreamEvent) = post(TaskKind.RUN_EVENT) {
             carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock()))
         }
 
-        override fun onEnd(end: RunEnd) = post {
+        override fun onEnd(end: RunEnd) = post(TaskKind.RUN_END) {
             runs.forget(run)
             metrics.onEvent("run", end.javaClass.simpleName)
             log(end)
@@ -276,7 +278,7 @@
             is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible, is RunEnd.NotSent -> Unit
         }
 
-        override fun whenTaken(action: () -> Unit) = post(action)
+        override fun whenTaken(action: () -> Unit) = post(TaskKind.RUN_TAKEN, action)
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -49,7 +49,7 @@
 ) : GatewayProcess,
     ServiceListener {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val thread = EngineThread(onFailure)
+    private val thread = EngineThread(onFailure = onFailure)
     private val machine = ServiceStateMachine(this)
     private val jobs = JobCalls(dialect, machine) { host }
     private val hello = LinkMessage.Hello(
@@ -90,6 +90,7 @@
         metrics.gauge("zinniahoist_replica_stopped", "1 while the replica can't use its disk or its log.") {
             if (host.status.failure != null) 1 else 0
         }
+        thread.load.show(metrics)
         thread.repeat(TICK, ::tick)
         duties.start()
         logger.info { "event=started role=core machine=${settings.machine} instance=${hello.instance}" }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
@@ -1,34 +1,67 @@
 package org.zinniahoist.gateway.core
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.model.Moment
+import java.lang.management.ManagementFactory
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.nanoseconds
 
 /**
  * The thread on which all decisions of a core are made. A task that throws an exception is logged, and the thread
  * goes on.
  *
+ * @property load what the tasks cost and how late they start.
  * @param onFailure told of an error of the runtime, after which the process can't be relied on; must not block.
  */
-internal class EngineThread(private val onFailure: (String) -> Unit) : AutoCloseable {
+internal class EngineThread(
+    val load: EngineLoad = EngineLoad(),
+    private val onFailure: (String) -> Unit,
+) : AutoCloseable {
     private val executor = Executors.newSingleThreadScheduledExecutor {
         Thread(it, "engine").apply { isDaemon = true }
     }
 
+    /** Loaded by the first task, as it takes some time. */
+    private val threads by lazy { ManagementFactory.getThreadMXBean() }
+    private var processorTime = Duration.ZERO
+
     /** Runs [task] after those that were posted before. */
-    fun post(task: () -> Unit): Unit = executor.execute { guarded("engine-task-failed", task) }
+    fun post(task: () -> Unit): Unit = post(TaskKind.OTHER, task)
+
+    /** Runs [task] after those that were posted before, and shows its cost under [kind]. */
+    fun post(kind: TaskKind, task: () -> Unit) {
+        val postedAt = now()
+        executor.execute { measured(kind, postedAt) { guarded("engine-task-failed", task) } }
+    }
 
     /** Runs [task] again and again, with [interval] between the end of one run and the next. */
     fun repeat(interval: Duration, task: () -> Unit) {
-        val guardedTask = Runnable { guarded("engine-tick-failed", task) }
-        executor.scheduleWithFixedDelay(guardedTask, 0, interval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+        var dueAt = now()
+        val measuredTask = Runnable {
+            measured(TaskKind.TICK, dueAt) { guarded("engine-tick-failed", task) }
+            dueAt = now() + interval
+        }
+        executor.scheduleWithFixedDelay(measuredTask, 0, interval.inWholeMilliseconds, TimeUnit.MILLISECONDS)
     }
 
     override fun close() {
         executor.shutdownNow()
     }
 
+    /** One reading of the clock a task is enough: what lies between two tasks counts for the second one. */
+    private fun measured(kind: TaskKind, dueAt: Moment, task: () -> Unit) {
+        val delay = now() - dueAt
+        task()
+        val before = processorTime
+        processorTime =
+            if (threads.isCurrentThreadCpuTimeSupported) threads.currentThreadCpuTime.nanoseconds else before
+        load.onTask(kind, delay, processorTime - before, now())
+    }
+
+    private fun now() = Moment(System.nanoTime())
+
     private fun guarded(event: String, task: () -> Unit) = try {
         task()
     } catch (fault: Exception) {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
@@ -3,10 +3,14 @@
 import org.junit.jupiter.api.Test
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
+import strikt.assertions.isGreaterThanOrEqualTo
+import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
+import java.lang.management.ManagementFactory
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
 internal class EngineThreadTest {
@@ -32,4 +36,44 @@
             expectThat(runs.await(10, TimeUnit.SECONDS)).isTrue()
         }
     }
+
+    /** Guards against a delay that is measured from the start of a task, which hides a thread that is late. */
+    @Test
+    fun `the time from the post of a task to its start is shown`() {
+        val line = CompletableFuture<String>()
+        EngineThread(EngineLoad { if ("run-event" in it) line.complete(it) }, onFailure = {}).use { thread ->
+            thread.post { spin(HELD) }
+            thread.post(TaskKind.RUN_EVENT) {}
+            thread.repeat(10.milliseconds) {}
+            val delay = DELAY.find(line.get(10, TimeUnit.SECONDS))?.groupValues?.get(1)?.toDouble()
+            expectThat(delay).isNotNull().isGreaterThanOrEqualTo(HELD.inWholeMilliseconds.toDouble())
+        }
+    }
+
+    /** Guards against processor time that is not counted for the task that took it. */
+    @Test
+    fun `the processor time of a task is shown under its kind`() {
+        val line = CompletableFuture<String>()
+        EngineThread(EngineLoad { if ("run-end" in it) line.complete(it) }, onFailure = {}).use { thread ->
+            thread.post(TaskKind.RUN_END) { burn(HELD) }
+            thread.repeat(10.milliseconds) {}
+            val cost = COST.find(line.get(10, TimeUnit.SECONDS))?.groupValues?.get(1)?.toDouble()
+            expectThat(cost).isNotNull().isGreaterThanOrEqualTo(HELD.inWholeMilliseconds.toDouble())
+        }
+    }
+
+    private fun spin(time: Duration) = waitUntil(time) { System.nanoTime() }
+
+    private fun burn(time: Duration) = waitUntil(time) { ManagementFactory.getThreadMXBean().currentThreadCpuTime }
+
+    private fun waitUntil(time: Duration, clock: () -> Long) {
+        val end = clock() + time.inWholeNanoseconds
+        while (clock() < end) Thread.onSpinWait()
+    }
+
+    private companion object {
+        val HELD = 200.milliseconds
+        val DELAY = Regex(" longest-delay-ms=([0-9.]+)")
+        val COST = Regex(" run-end-ms=([0-9.]+)")
+    }
 }
