Drop calls whose callers have given up, and make pages when there is room

Cause: an entry gives up a call after 700 ms and its wait, and calls again. The leader did not know: it made and queued the whole page for each call, up to 4 MiB for a link, behind pages that nobody waited for either. A link takes 32 KiB a round trip, so what was queued last came after its reader had gone. A later the leader, the more calls came twice, each with a page of up to 900 kB to expand, to encode, to compress and to send.

A call now carries the time for which its caller waits and the number of its request. The leader counts from the reading of the frame, as the clocks of two processes can't be compared. It does nothing for a call whose time is over, whose request has been called again on the same link, or whose link has closed: this is looked at before the round that confirms the leadership, before the page is made and before it is queued. A page is made only once less than 512 KiB wait on its link, one page at a time, and its reader waits for that instead of being refused and coming back. Calls without these fields, of an earlier release, are answered as before.

LinkAnswersTest: five of its six tests fail where the three checks are taken out (8 pages queued for 8 repetitions of one read, now 1); the sixth guards the earlier release.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -20,7 +20,6 @@
 import org.zinniahoist.wire.ServiceMessage
 import org.zinniahoist.wire.UnsentFrames
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 
 /**
  * Links of a replica: it dials the other replicas to send to them, and everybody dials it to ask. A replica that it
@@ -29,7 +28,7 @@
 internal class CoreLinks(
     private val machineName: String,
     hello: LinkMessage.Hello,
-    private val jobs: JobCalls,
+    jobs: JobCalls,
     private val scope: CoroutineScope,
     clock: () -> Moment,
 ) : LinkHandler {
@@ -51,10 +50,10 @@
     /** The replica that messages are for; set before links are accepted. */
     lateinit var host: GroupHost
 
-    private val answering = AtomicInteger()
+    private val answers = LinkAnswers(jobs, clock) { inbound.sumOf { it.unsent.bytes } }
 
     /** Calls of other processes without an answer that is queued. */
-    val callsInProgress: Int get() = answering.get()
+    val callsInProgress: Int get() = answers.inProgress
 
     /** What waits for sending on each link. */
     val unsent: List<UnsentFrames> get() = (peers.links + inbound).map { it.unsent }
@@ -102,6 +101,7 @@
 
     override fun onOpen(link: LinkConnection) {
         inbound += link
+        answers.onOpen(link)
         tellMembers(link)
         upstreams.onOpen(link)
     }
@@ -111,24 +111,11 @@
             is ControlMessage.ReplicaTraffic -> receive(message)
             is ServiceMessage.Members -> told = link to message
             is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
-            is ServiceMessage.Call -> scope.launch { answer(link, message) }
+            is ServiceMessage.Call -> answers.begin(link, message)?.let { scope.launch { answers.answer(it) } }
             else -> Unit
         }
     }
 
-    private suspend fun answer(link: LinkConnection, call: ServiceMessage.Call) {
-        answering.incrementAndGet()
-        try {
-            link.send(ServiceMessage.Reply(call.identifier, jobs.answer(call.call) { hasRoom(link) }))
-        } finally {
-            answering.decrementAndGet()
-        }
-    }
-
-    /** Pages of results wait in memory, so a reader that takes them slowly is refused further ones. */
-    private fun hasRoom(link: LinkConnection): Boolean =
-        link.unsent.bytes < MAXIMUM_UNSENT_OF_LINK && inbound.sumOf { it.unsent.bytes } < MAXIMUM_UNSENT
-
     private fun receive(traffic: ControlMessage.ReplicaTraffic) {
         try {
             host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
@@ -139,6 +126,7 @@
 
     override fun onClosed(link: LinkConnection, cause: LinkCloseCause) {
         inbound -= link
+        answers.onClosed(link)
         upstreams.onClosed(link)
         forget(link)
     }
@@ -174,11 +162,5 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-
-        /** Some pages of results, in bytes. */
-        const val MAXIMUM_UNSENT_OF_LINK = 4L shl 20
-
-        /** An eighth of the heap of a core with 460 MB, in bytes. */
-        const val MAXIMUM_UNSENT = 32L shl 20
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -33,12 +33,15 @@
         waiters.remove(record.job.identifier)?.complete(Unit)
     }
 
-    /** Answers [call]. Results are read only if [hasRoom] says that a page of them may wait for its reader. */
-    suspend fun answer(call: ServiceCall, hasRoom: () -> Boolean = { true }): ServiceReply = when (call) {
+    /** Answers [call], and does nothing for it if [recipient] doesn't wait any more. */
+    suspend fun answer(call: ServiceCall, recipient: AnswerRecipient = AnswerRecipient.Local): ServiceReply =
+        if (recipient.isWaiting) carryOut(call, recipient) else GIVEN_UP
+
+    private suspend fun carryOut(call: ServiceCall, recipient: AnswerRecipient): ServiceReply = when (call) {
         is ServiceCall.AppliedConfiguration -> applied(call)
         is ServiceCall.NewestConfiguration -> confirmed { document() ?: ServiceReply.NotFound }
         is ServiceCall.SubmitJob -> submit(call)
-        is ServiceCall.ReadJob -> readJob(call, hasRoom)
+        is ServiceCall.ReadJob -> readJob(call, recipient)
         is ServiceCall.ReadItem -> confirmed { readItem(call) }
         is ServiceCall.EndJob -> propose(ServiceCommand.EndJob(JobIdentifier(call.job)))
     }
@@ -65,7 +68,7 @@
         )
     }
 
-    private suspend fun readJob(call: ServiceCall.ReadJob, hasRoom: () -> Boolean): ServiceReply {
+    private suspend fun readJob(call: ServiceCall.ReadJob, recipient: AnswerRecipient): ServiceReply {
         var found: JobRecord? = null
         val reply = confirmed {
             found = machine.job(JobIdentifier(call.job))
@@ -74,7 +77,8 @@
         val record = found ?: return reply
         if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
         awaitResult(record, call)
-        if (!hasRoom()) return ServiceReply.Unavailable("too many results wait for their readers")
+        if (!recipient.isWaiting) return GIVEN_UP
+        if (!recipient.awaitRoom()) return ServiceReply.Unavailable("too many results wait for their readers")
         return ServiceReply.Content(page(record, call.after))
     }
 
@@ -141,6 +145,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
         val NOTHING = ByteArray(0)
+        val GIVEN_UP = ServiceReply.Unavailable("the caller has given up")
 
         /** Below the megabyte that a reader accepts, with room for the names of fields. */
         const val PAGE_BYTES = 900_000
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -74,6 +74,7 @@
      */
     public suspend fun callLeader(call: ServiceCall, timeout: Duration): ServiceReply {
         val deadline = clock() + timeout
+        val request = calls.newRequest()
         var refused = emptySet<InstanceName>()
         var failure: ServiceReply = ServiceReply.Unavailable("no leader within $timeout")
         while (true) {
@@ -86,7 +87,7 @@
                 delay(RETRY_INTERVAL)
                 continue
             }
-            val reply = calls.call(link, call, minOf(remaining, patienceFor(call)))
+            val reply = calls.call(link, call, minOf(remaining, patienceFor(call)), request)
             when (reply) {
                 null -> failure = ServiceReply.OutcomeUnknown("no answer from $target")
                 is ServiceReply.OutcomeUnknown -> failure = reply
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/ServiceCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/ServiceCalls.kt
@@ -15,14 +15,26 @@
     private val pending = ConcurrentHashMap<Long, Pending>()
     private val next = AtomicLong()
 
-    /** Calls the replica at the other end of [link]; returns null if no answer comes within [timeout]. */
-    public suspend fun call(link: LinkConnection, call: ServiceCall, timeout: Duration): ServiceReply? {
+    /** Returns a number for a request that may be sent several times. */
+    public fun newRequest(): Long = next.incrementAndGet()
+
+    /**
+     * Calls the replica at the other end of [link]; returns null if no answer comes within [timeout]. A call with the
+     * number of an earlier one as its [request] replaces that one, and nobody waits for the earlier answer any more.
+     */
+    public suspend fun call(
+        link: LinkConnection,
+        call: ServiceCall,
+        timeout: Duration,
+        request: Long = newRequest(),
+    ): ServiceReply? {
         val identifier = next.incrementAndGet()
         val waiting = Pending(link)
         pending[identifier] = waiting
+        val message = ServiceMessage.Call(identifier, call, timeout.inWholeMilliseconds, request)
         try {
             return withTimeoutOrNull(timeout) {
-                if (!link.send(ServiceMessage.Call(identifier, call))) null else waiting.answer.await()
+                if (!link.send(message)) null else waiting.answer.await()
             }
         } finally {
             pending.remove(identifier)
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -12,12 +12,16 @@
 @Serializable
 @OptIn(ExperimentalSerializationApi::class)
 public sealed interface ServiceMessage : Message {
-    /** Asks a replica; each call has one [Reply]. */
+    /** Asks a replica; each call has at most one [Reply]. */
     @Serializable
     @SerialName("service-call")
     public class Call(
         public val identifier: Long,
         public val call: ServiceCall,
+        /** Time from the reading of the call for which its caller waits; null if the caller does not say. */
+        public val patienceMilliseconds: Long? = null,
+        /** Number of the caller's request. A later call of the same request on a link replaces the earlier ones. */
+        public val request: Long? = null,
     ) : ServiceMessage
 
     /** Answers a [Call]. */
