Call a leader again only if it is silent, not because it is late

Cause: an entry gave up each call after 700 ms and its wait, whatever arrived on the link meanwhile. A page that takes longer to make and to send could never arrive, and each repetition made the leader later. An entry that was late itself gave up before it had read the answer that had arrived.

An entry now gives up a call when nothing at all has been received on its link for 700 ms, when another leader is named, when the link closes, or when the time of the request is over. A frozen leader sends nothing, so it is left as soon as before, and a long read as soon as a short one.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -38,7 +38,7 @@
     private val clock: () -> Moment,
 ) : LinkHandler,
     AutoCloseable {
-    private val calls = ServiceCalls()
+    private val calls = ServiceCalls(clock)
     private val links = PeerLinks(hello, this, clock)
 
     @Volatile
@@ -87,7 +87,7 @@
                 delay(RETRY_INTERVAL)
                 continue
             }
-            val reply = calls.call(link, call, minOf(remaining, patienceFor(call)), request)
+            val reply = calls.call(link, call, patience(remaining, target), request)
             when (reply) {
                 null -> failure = ServiceReply.OutcomeUnknown("no answer from $target")
                 is ServiceReply.OutcomeUnknown -> failure = reply
@@ -100,8 +100,11 @@
         }
     }
 
-    private fun patienceFor(call: ServiceCall): Duration =
-        if (call is ServiceCall.ReadJob) CALL_PATIENCE + call.waitMilliseconds.milliseconds else CALL_PATIENCE
+    /** Another replica is called if [target] is silent, or if another one is named as the leader meanwhile. */
+    private fun patience(remaining: Duration, target: InstanceName): CallPatience {
+        val known = leader
+        return CallPatience(remaining, CALL_PATIENCE) { leader.let { it != null && it != known && it != target } }
+    }
 
     private fun target(refused: Set<InstanceName>): InstanceName? {
         val known = leader?.takeIf { it !in refused && it in links.connected }
@@ -164,7 +167,7 @@
     }
 
     private suspend fun fetch(link: LinkConnection) {
-        val reply = calls.call(link, ServiceCall.AppliedConfiguration(revision), FETCH_TIMEOUT)
+        val reply = calls.call(link, ServiceCall.AppliedConfiguration(revision), CallPatience(FETCH_TIMEOUT))
         if (reply is ServiceReply.Document) take(reply)
         onFetched(isAnswered = reply is ServiceReply.Document)
     }
@@ -193,7 +196,10 @@
         val RETRY_INTERVAL = 40.milliseconds
         val INFORM_TIMEOUT = 1.seconds
 
-        /** A leader answers within a few round trips and a sync; one that is frozen does not answer at all. */
+        /**
+         * A leader sends heartbeats each 400 ms; one that is frozen sends nothing. One that is late and sends something
+         * is not called again, since a second call makes it later.
+         */
         val CALL_PATIENCE = 700.milliseconds
         val FETCH_TIMEOUT = 1.seconds
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkHandler.kt
@@ -10,6 +10,9 @@
     /** Sequence number of the last heartbeat received from the other side. */
     public val lastHeartbeatReceived: Long
 
+    /** Parts of frames that were received so far; grows while the other side sends. */
+    public val received: Long get() = 0
+
     /** What waits here for sending. */
     public val unsent: UnsentFrames get() = UnsentFrames.NONE
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -50,6 +50,10 @@
     override var lastHeartbeatReceived: Long = -1
         private set
 
+    @Volatile
+    override var received: Long = 0
+        private set
+
     override val unsent: UnsentFrames get() = queue.unsent
 
     override fun heartbeatSentAt(sequence: Long): Moment? = sent[sequence]
@@ -182,7 +186,10 @@
         }
     }
 
-    private suspend fun readMessage(): Message = frames.read { silence.onProgress(end.clock()) }
+    private suspend fun readMessage(): Message = frames.read {
+        received++
+        silence.onProgress(end.clock())
+    }
 
     private suspend fun watch() {
         var nextHeartbeat = end.clock()
