Check all links of a process on one timer

Each link had a coroutine of its own that woke five times a second. A core with 28 entries and 14 other cores has about 50 link ends, so it woke 250 times a second to compare two times. All links with the same interval now share a timer; a round checks them one after the other. A link that ends leaves the timer, and a fault in a check ends its own link only.

`the links of a process are checked in one round` failed before: the checks of 40 links that were due at once ran on 12 threads.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -7,7 +7,6 @@
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
@@ -43,6 +42,11 @@
 
     private val silence = PeerSilence(limits.silenceLimit, end.clock())
 
+    // Used by the check of this link only; its rounds follow each other.
+    private var nextHeartbeat = end.clock()
+    private var nextSequence = 0L
+    private var closingSince: Moment? = null
+
     override lateinit var peer: LinkMessage.Hello
         private set
 
@@ -108,9 +112,16 @@
         val loops = listOf(
             loop { write() },
             loop { read() },
-            launch { watch() },
         )
-        val cause = closed.await()
+        val timer = LinkTimer.of(limits.checkInterval)
+        val check = LinkCheck(::check)
+        val cause = try {
+            check.run()
+            timer.add(check)
+            closed.await()
+        } finally {
+            timer.remove(check)
+        }
         // Nobody takes frames from here on. Closing the queue alone would leave waiting senders waiting for ever.
         queue.cancel()
         frames.close()
@@ -184,23 +195,24 @@
 
     private suspend fun readMessage(): Message = frames.read { silence.onProgress(end.clock()) }
 
-    private suspend fun watch() {
-        var nextHeartbeat = end.clock()
-        var sequence = 0L
-        var closingSince: Moment? = null
-        while (true) {
-            val now = end.clock()
-            if (now >= nextHeartbeat) {
-                sendHeartbeat(sequence++, now)
-                nextHeartbeat = now + limits.heartbeatInterval
-            }
-            if (goodbye != null) closingSince = closingSince ?: now
-            if (closingSince != null && now - closingSince >= limits.closeTimeout) {
-                finish(LinkCloseCause.Local)
-            }
-            if (silence.check(now)) finish(LinkCloseCause.Silent)
-            delay(limits.checkInterval)
+    /** Runs in rounds of the timer. A fault ends this link only, as other links share the timer. */
+    private fun check() {
+        try {
+            checkAt(end.clock())
+        } catch (fault: Exception) {
+            logger.error(fault) { "event=link-check-failed peer=${peer.instance}" }
+            finish(LinkCloseCause.ProtocolError("check failed: ${fault.message}"))
+        }
+    }
+
+    private fun checkAt(now: Moment) {
+        if (now >= nextHeartbeat) {
+            sendHeartbeat(nextSequence++, now)
+            nextHeartbeat = now + limits.heartbeatInterval
         }
+        if (goodbye != null && closingSince == null) closingSince = now
+        if (closingSince?.let { now - it >= limits.closeTimeout } == true) finish(LinkCloseCause.Local)
+        if (silence.check(now)) finish(LinkCloseCause.Silent)
     }
 
     private fun sendHeartbeat(sequence: Long, now: Moment) {
--- /dev/null
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/LinkTimerTest.kt
@@ -0,0 +1,71 @@
+package org.zinniahoist.wire
+
+import kotlinx.coroutines.CoroutineDispatcher
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Runnable
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.Endpoint
+import strikt.api.expectThat
+import strikt.assertions.isLessThanOrEqualTo
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.coroutines.CoroutineContext
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class LinkTimerTest {
+    private val cleanup = ArrayDeque<AutoCloseable>()
+    private val clock = ManualClock()
+
+    @AfterEach
+    fun close() = cleanup.reversed().forEach { it.close() }
+
+    /** Guards against idle processes that spend their processor time on a timer for each of their links. */
+    @Test
+    fun `the links of a process are checked in one round`(): Unit = runBlocking {
+        val threads = Channel<Thread>(Channel.UNLIMITED)
+        val content = { HeartbeatContent().also { threads.trySend(Thread.currentThread()) } }
+        val handler = RecordingHandler()
+        val server = LinkServer(Endpoint("127.0.0.1", 0), hello("server"), handler, content, clock::now)
+        cleanup += server
+        val endpoint = server.start()
+        repeat(LINKS) {
+            RawPeer(endpoint).also(cleanup::add).greet()
+            handler.opened.receive()
+            threads.receive()
+        }
+        clock.advance(LinkLimits().heartbeatInterval)
+        val used = withTimeout(WAIT) { List(LINKS) { threads.receive() } }
+        // The clock may advance within a round, so that some links see it in the next one, on another thread.
+        expectThat(used.toSet().size).isLessThanOrEqualTo(2)
+    }
+
+    /** Guards against a number of wake-ups that grows with the number of links. */
+    @Test
+    fun `a round wakes the process once for all checks`(): Unit = runBlocking {
+        val wakeUps = AtomicInteger()
+        val dispatcher = object : CoroutineDispatcher() {
+            override fun dispatch(context: CoroutineContext, block: Runnable) {
+                wakeUps.incrementAndGet()
+                Dispatchers.Default.dispatch(context, block)
+            }
+        }
+        val rounds = Channel<Int>(Channel.UNLIMITED)
+        val timer = LinkTimer(10.milliseconds, dispatcher)
+        val checks = List(LINKS) { number -> LinkCheck { rounds.trySend(number) } }
+        checks.forEach(timer::add)
+        withTimeout(WAIT) { repeat(LINKS * ROUNDS) { rounds.receive() } }
+        checks.forEach(timer::remove)
+        // The first wake-up starts the timer; a round may begin while the last check is counted and removed.
+        expectThat(wakeUps.get()).isLessThanOrEqualTo(ROUNDS + 3)
+    }
+
+    private companion object {
+        const val LINKS = 40
+        const val ROUNDS = 10
+        val WAIT = 10.seconds
+    }
+}
