Dispatch: an event of a long text copies no events before it

Cause: ItemText.plus copied the list of all events for each event.

Fix: the events are a persistent list.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.policy.dispatch
 
+import kotlinx.collections.immutable.toPersistentList
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
@@ -52,7 +53,8 @@
 ) {
     /** Returns the text with one more event. */
     public fun plus(number: Long, data: String, version: WeightVersion?): ItemText = copy(
-        events = events + data,
+        // A persistent list shares what it holds, so that an event of a long text costs no more than another.
+        events = events.toPersistentList().add(data),
         lastNumber = number,
         versions = if (version == null || version in versions) versions else versions + version,
     )
