Let reads that arrive during a round of confirmation share the next one

Cause: reads of one step shared a round of confirmation, but each step with a read began a round of its own, with a message to each peer and an answer from each, whether or not a round was on its way. The rounds followed the reads, up to hundreds a second.

The next round begins once a majority has confirmed the one before, so there is one a round trip at most. A read takes the index to wait for at the start of its round, which is not before its arrival, so it is answered from a state at least as new as before. A round that is lost is repeated by the next heartbeat.

ReadRoundsTest: 49 reads during a round cost 98 messages to two peers before, and 2 now; its first test failed on the code before.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -108,8 +108,9 @@
     fun flush() {
         val majority = quorumValue({ progress[it]?.matchIndex ?: 0 }) { log.persistedIndex }
         if (majority > context.commitIndex && log.term(majority) == context.term) context.commitIndex = majority
-        if (isEstablished) startReads()
-        if (roundRequested && isEstablished) {
+        // Reads that arrive while a round is on its way share the next one; heartbeats repeat a round that was lost.
+        if (roundRequested && isEstablished && round <= confirmedRound()) {
+            startReads()
             round++
             roundRequested = false
             progress.values.forEach { replication.confirm(it, round) }
@@ -117,7 +118,7 @@
         progress.values.forEach { replication.sendEntries(it, round) }
     }
 
-    /** The commit index at the arrival of a read is the index that its answer must include. */
+    /** The commit index at the start of its round is the index that the answer to a read must include. */
     private fun startReads() {
         for (read in reads.asReversed()) {
             if (read.round != 0L) break
@@ -126,9 +127,12 @@
         }
     }
 
+    /** The last round that a majority has confirmed. */
+    private fun confirmedRound(): Long = quorumValue({ progress[it]?.confirmedRound ?: 0 }) { round }
+
     /** Answers the reads for which a majority has confirmed this leader after their arrival. */
     fun answerReads() {
-        val confirmed = quorumValue({ progress[it]?.confirmedRound ?: 0 }) { round }
+        val confirmed = confirmedRound()
         while (reads.isNotEmpty()) {
             val read = reads.first()
             if (read.round == 0L || read.round > confirmed || read.index > context.appliedIndex) return
--- /dev/null
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/ReadRoundsTest.kt
@@ -0,0 +1,54 @@
+package org.zinniahoist.consensus
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.consensus.ReplicaMessageContent.AppendRequest
+import org.zinniahoist.consensus.ReplicaMessageContent.AppendResponse
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import strikt.assertions.hasSize
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import kotlin.time.Duration.Companion.milliseconds
+
+/** Rounds in which a leader confirms that it leads, before it answers reads. */
+internal class ReadRoundsTest : ReplicaFixture() {
+    private val replica by lazy { leader().also { it.receive(1, AppendResponse(true, 2, 2, 0)) } }
+
+    private fun read(request: Long) = replica.step(ReplicaEvent.Read(request))
+
+    private fun confirm(round: Long) = replica.receive(1, AppendResponse(true, 2, 2, round))
+
+    private fun List<ReplicaAction>.rounds() = sent().filterIsInstance<AppendRequest>().map { it.round }
+
+    private fun List<ReplicaAction>.answered() = filterIsInstance<ReplicaAction.AnswerRead>().map { it.request }
+
+    /** Guards against a leader that sends a message to each peer for each of many reads. */
+    @Test
+    fun `reads that arrive during a round share the next one`() {
+        expectThat(read(1).rounds()).containsExactly(1, 1)
+        val during = (2L..50L).flatMap { read(it) }
+        expectThat(during.rounds()).isEmpty()
+        val confirmed = confirm(1)
+        expectThat(confirmed.answered()).containsExactly(1)
+        expectThat(confirmed.rounds()).containsExactly(2, 2)
+        expectThat(confirm(2).answered()).isEqualTo((2L..50L).toList())
+    }
+
+    /** Guards against an answer to a read under a confirmation that was asked for before the read arrived. */
+    @Test
+    fun `a read is not answered by the round before it`() {
+        read(1)
+        read(2)
+        expectThat(confirm(1).answered()).containsExactly(1)
+        expectThat(confirm(1).answered()).isEmpty()
+    }
+
+    /** Guards against reads that wait for good because the messages of a round were lost. */
+    @Test
+    fun `a heartbeat repeats a round that was lost`() {
+        read(1)
+        val beat = replica.step(ReplicaEvent.Tick, 100.milliseconds)
+        expectThat(beat.rounds()).hasSize(2).containsExactly(1, 1)
+        expectThat(confirm(1).answered()).containsExactly(1)
+    }
+}
