Judge the silence of a peer by checks that come in time

A process that was late for several checks in a row closed links to live peers: each late check counted up to half of the limit, so two checks of 0.75 s ended a link with a limit of 1.5 s although the peer's bytes waited unread. Then all that was asked on the link is asked again, by a process that is late already.

A check that comes more than two intervals after the one before now finds a peer silent only after twice the limit. The first check in time judges by the limit as before.

Both new tests failed before, with lateness of 0.5, 1 and 2 s.

--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -40,7 +40,7 @@
     @Volatile
     private var goodbye: String? = null
 
-    private val silence = PeerSilence(limits.silenceLimit, end.clock())
+    private val silence = PeerSilence(limits.silenceLimit, end.clock(), limits.checkInterval * 2)
 
     // Used by the check of this link only; its rounds follow each other.
     private var nextHeartbeat = end.clock()
--- a/wire/src/test/kotlin/org/zinniahoist/wire/PeerSilenceTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/PeerSilenceTest.kt
@@ -1,8 +1,11 @@
 package org.zinniahoist.wire
 
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
 import org.zinniahoist.model.Moment
 import strikt.api.expectThat
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import kotlin.time.Duration.Companion.hours
@@ -61,4 +64,34 @@
         expectThat(check(5_999)).isFalse()
         expectThat(check(6_000)).isTrue()
     }
+
+    /** Guards against links to live peers that a process breaks when it is late for several checks in a row. */
+    @ParameterizedTest
+    @ValueSource(ints = [500, 1_000, 2_000])
+    fun `a process that is late again and again takes no peer for silent before a check comes in time`(late: Int) {
+        val silence = PeerSilence(LIMIT, Moment.ZERO, onTime = 400.milliseconds)
+        var now = Moment.ZERO
+        repeat(3) {
+            now += late.milliseconds
+            expectThat(silence.check(now)).isFalse()
+        }
+        silence.onProgress(now)
+        repeat(7) {
+            now += 200.milliseconds
+            expectThat(silence.check(now)).isFalse()
+        }
+        expectThat(silence.check(now + 200.milliseconds)).isTrue()
+    }
+
+    /** Guards against a peer that is gone and is never found because all checks are late. */
+    @Test
+    fun `a process that is always late finds a silent peer after twice the limit`() {
+        val silence = PeerSilence(LIMIT, Moment.ZERO, onTime = 400.milliseconds)
+        val found = (1..10).first { silence.check(Moment.ZERO + 500.milliseconds * it) }
+        expectThat(found).isEqualTo(6)
+    }
+
+    private companion object {
+        val LIMIT = 1_500.milliseconds
+    }
 }
