Answer all requests before a stopping entry closes its connections

Callers of one entry that stopped in calm saw connections close without an answer at the end of the grace, also for requests that may not be repeated.

An entry that had got SIGTERM passed on every request of the first 3 s, however long its route may take, and closed its server 0.9 s before the grace ended, whatever was open. A request whose body was complete only after those 3 s was passed on as well, since the phase was read when its head arrived, and retries began at any time.

Now each attempt asks whether the request may still end in time: a request that may not be repeated, or a stream, by its deadline; a safe one by its target, as it can be sent again and usually takes no longer. What may not is refused as not run. With the grace of 8 s a deadline of up to 4.1 s is refused nothing. The phase is read again after the body. A stream that has begun is still broken off.

The route of the fixture has a target of 1 s instead of 10 s, as requests whose target is beyond the end would not be served and the two older tests would then show less.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -31,6 +31,7 @@
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import java.util.Locale
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -53,6 +54,7 @@
     private val forwarder = Forwarder(names, calls, directory, clock)
     private val streams = StreamForwarder(names, calls, directory, scope, clock, random)
     private val inFlight = AtomicInteger()
+    private val open: MutableSet<OpenRequest> = ConcurrentHashMap.newKeySet()
 
     /** The routes in force, or null before they are known. */
     @Volatile
@@ -61,6 +63,10 @@
     @Volatile
     var phase: EntryPhase = EntryPhase.SERVING
 
+    /** When the service ends, or null while the process is not stopping. */
+    @Volatile
+    var serviceEnd: Moment? = null
+
     /** Requests without a complete answer. */
     val requestsInFlight: Int get() = inFlight.get()
 
@@ -72,9 +78,12 @@
             inFlight.decrementAndGet()
             share.close()
         }
-        val present = phase
-        if (present != EntryPhase.SERVING) context.initiateConnectionShutdown()
-        val answer = scope.future { guarded(request, present, share) }
+        if (phase != EntryPhase.SERVING) context.initiateConnectionShutdown()
+        val passage = RequestPassage { serviceEnd }
+        val answer = scope.future { guarded(request, share, passage) }
+        val openRequest = OpenRequest(request, passage, answer)
+        open += openRequest
+        answer.whenComplete { _, _ -> open -= openRequest }
         val response = HttpResponse.of(answer)
         response.whenComplete().handle { _, failure ->
             if (failure != null) answer.cancel(true)
@@ -82,29 +91,44 @@
         return response
     }
 
-    private suspend fun guarded(request: HttpRequest, phase: EntryPhase, share: AnswerMemory.Share): HttpResponse =
-        try {
-            if (phase == EntryPhase.REFUSING) refuseStopping(request) else answer(request, share)
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (_: ContentTooLargeException) {
-            HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
-        } catch (failure: Exception) {
-            logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
-            HttpResponse.of(HttpStatus.BAD_GATEWAY)
-        }
+    /** Answers all requests whose answers have not begun: as not run, or with an unknown outcome. */
+    fun answerOpenRequests(): Unit = open.toList().forEach { openRequest ->
+        val hasRun = openRequest.passage.end()
+        val answer = if (hasRun) HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT) else refuseStopping(openRequest.request)
+        // Also cancels the coroutine that would have answered, and with it what waits for upstreams.
+        openRequest.answer.complete(answer)
+    }
 
-    private suspend fun refuseStopping(request: HttpRequest): HttpResponse {
-        request.aggregate().await()
-        return refusal(request, RefusalCause.STOPPING, "the process stops")
+    private suspend fun guarded(
+        request: HttpRequest,
+        share: AnswerMemory.Share,
+        passage: RequestPassage,
+    ): HttpResponse = try {
+        answer(request, share, passage)
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (_: ContentTooLargeException) {
+        HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+    } catch (failure: Exception) {
+        logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
+        HttpResponse.of(HttpStatus.BAD_GATEWAY)
     }
 
-    private suspend fun answer(request: HttpRequest, share: AnswerMemory.Share): HttpResponse {
+    private fun refuseStopping(request: HttpRequest): HttpResponse =
+        refusal(request, RefusalCause.STOPPING, "the process stops")
+
+    private suspend fun answer(
+        request: HttpRequest,
+        share: AnswerMemory.Share,
+        passage: RequestPassage,
+    ): HttpResponse {
         val arrival = clock()
+        val body = request.aggregate().await().content().array()
+        // Read after the body, which may take long: what is complete once all are refused must not be passed on.
+        if (phase == EntryPhase.REFUSING) return refuseStopping(request)
         val path = request.path().substringBefore('?')
         val query = request.path().substringAfter('?', "").ifEmpty { null }
-        dialect.clientCall(request.method().name, path, query)?.let { return answerCall(request, it) }
-        val body = request.aggregate().await().content().array()
+        dialect.clientCall(request.method().name, path, query)?.let { return answerCall(request, it, passage) }
         val known = routes ?: return refusal(request, RefusalCause.NO_CONFIGURATION, "no configuration yet")
         val host = request.headers().authority().orEmpty().substringBefore(':')
         val route = known.find(host, path)
@@ -116,12 +140,12 @@
             return HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
         }
         return when (route.kind) {
-            RouteKind.BATCH -> submit(request, host, path, body)
+            RouteKind.BATCH -> submit(request, host, path, body, passage)
 
-            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(request, body, route, arrival, share))
+            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(request, body, route, arrival, share, passage))
 
             RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE ->
-                forward(request, forwardedRequest(request, body, route, arrival, share), arrival, known)
+                forward(request, forwardedRequest(request, body, route, arrival, share, passage), arrival, known)
         }
     }
 
@@ -140,7 +164,7 @@
         metrics.onRequest(outcomeOf(forwarded), clock() - arrival)
         return when (forwarded) {
             is Forwarded.Answer -> passOn(forwarded.answer)
-            is Forwarded.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, forwarded.reason)
+            is Forwarded.NotRun -> refusal(request, causeNow(), forwarded.reason)
             is Forwarded.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
         }
     }
@@ -163,20 +187,25 @@
     private suspend fun stream(request: HttpRequest, forwardedRequest: ForwardedRequest): HttpResponse =
         when (val stream = streams.forward(forwardedRequest)) {
             is ForwardedStream.Begun -> stream.response
-            is ForwardedStream.NotRun -> refusal(request, RefusalCause.NO_UPSTREAM, stream.reason)
+            is ForwardedStream.NotRun -> refusal(request, causeNow(), stream.reason)
             is ForwardedStream.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
         }
 
+    private fun causeNow(): RefusalCause =
+        if (phase == EntryPhase.SERVING) RefusalCause.NO_UPSTREAM else RefusalCause.STOPPING
+
     private fun forwardedRequest(
         request: HttpRequest,
         body: ByteArray,
         route: Route,
         arrival: Moment,
         share: AnswerMemory.Share,
+        passage: RequestPassage,
     ): ForwardedRequest {
         val headers = request.headers()
         val budget = Forwarder.budget(headers.get(names.remainingMilliseconds), route.timeout)
-        return ForwardedRequest(headers, body, headers.get(names.requestIdentifier), route, arrival + budget, share)
+        val identifier = headers.get(names.requestIdentifier)
+        return ForwardedRequest(headers, body, identifier, route, arrival + budget, share, passage)
     }
 
     private suspend fun submit(
@@ -184,17 +213,18 @@
         host: String,
         path: String,
         body: ByteArray,
+        passage: RequestPassage,
     ): HttpResponse {
         val job = request.headers().get(names.requestIdentifier) ?: return HttpResponse.of(HttpStatus.BAD_REQUEST)
         if (request.method() != HttpMethod.POST) return HttpResponse.of(HttpStatus.METHOD_NOT_ALLOWED)
+        if (!passage.enterCore()) return refuseStopping(request)
         val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body), SUBMIT_TIMEOUT)
         metrics.onEvent("job_submission", reply.javaClass.simpleName)
         logger.info { "event=job-submission job=$job bytes=${body.size} reply=${reply::class.simpleName}" }
         return respond(request, reply, success = HttpStatus.ACCEPTED)
     }
 
-    private suspend fun answerCall(request: HttpRequest, call: ClientCall): HttpResponse {
-        request.aggregate().await()
+    private suspend fun answerCall(request: HttpRequest, call: ClientCall, passage: RequestPassage): HttpResponse {
         val wait = request.headers().get(names.waitMilliseconds)?.trim()?.toLongOrNull() ?: 0
         val serviceCall = when (call) {
             is ClientCall.ReadJob -> ServiceCall.ReadJob(
@@ -206,6 +236,7 @@
             is ClientCall.EndJob -> ServiceCall.EndJob(call.job)
             is ClientCall.Malformed -> return HttpResponse.of(HttpStatus.BAD_REQUEST)
         }
+        if (!passage.enterCore()) return refuseStopping(request)
         val reply = core.callLeader(serviceCall, CALL_TIMEOUT + waitOf(serviceCall))
         logger.info { "event=job-call call=$call reply=${reply::class.simpleName}" }
         return respond(request, reply, success = HttpStatus.OK)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryStop.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryStop.kt
@@ -12,7 +12,7 @@
     /** Requests are served on connections that are kept. */
     SERVING,
 
-    /** Requests are served, and their connections close with the answer. */
+    /** Requests are served if they can end in time, and their connections close with the answer. */
     LEAVING,
 
     /** Requests are refused, and their connections close with the refusal. */
@@ -22,6 +22,7 @@
 /**
  * Ends the service of [http] so that no connection closes between a request and its answer: from the time at which new
  * connections go elsewhere, requests are refused, and the connections close once those before have their answers.
+ * What has no answer shortly before the grace is over is answered as not run, or with an unknown outcome.
  */
 internal class EntryStop(
     private val http: EntryHttp,
@@ -30,12 +31,21 @@
 ) {
     /** Returns when all connections may be closed. */
     suspend fun awaitEnd() {
-        val start = clock()
+        val end = clock() + grace - RESERVE
+        http.serviceEnd = end
         http.phase = EntryPhase.LEAVING
         delay(minOf(OUT_OF_ROTATION, grace - RESERVE))
         http.phase = EntryPhase.REFUSING
         logger.info { "event=refusing in-flight=${http.requestsInFlight}" }
-        while (http.requestsInFlight > 0 && clock() - start < grace - RESERVE) delay(QUIET_CHECK)
+        awaitQuiet(end)
+        if (http.requestsInFlight == 0) return
+        logger.warn { "event=requests-outlast-grace in-flight=${http.requestsInFlight}" }
+        http.answerOpenRequests()
+        awaitQuiet(end + ANSWER_TIME)
+    }
+
+    private suspend fun awaitQuiet(end: Moment) {
+        while (http.requestsInFlight > 0 && clock() < end) delay(QUIET_CHECK)
     }
 
     private companion object {
@@ -47,5 +57,8 @@
 
         /** Left for the end of the process itself. */
         val RESERVE = 900.milliseconds
+
+        /** The part of [RESERVE] in which the answers to requests that outlast the grace are written. */
+        val ANSWER_TIME = 300.milliseconds
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -39,7 +39,11 @@
     val deadline: Moment,
     /** Where the bytes of its answers are counted. */
     val share: AnswerMemory.Share,
-)
+    val passage: RequestPassage,
+) {
+    /** Notes at [present] that the request is passed on. Returns false if it must not be, as the process stops. */
+    fun enter(present: Moment): Boolean = passage.enter(route, deadline, present)
+}
 
 /** How the forwarding of a request ended. */
 internal sealed interface Forwarded {
@@ -89,13 +93,18 @@
         private var lost: Outcome.Lost? = null
 
         suspend fun run(): Forwarded = coroutineScope {
-            val result = if (startNext()) settle() else Forwarded.NotRun("no upstream of $service")
+            val result = when {
+                !request.enter(clock()) -> Forwarded.NotRun(STOPPING)
+                startNext() -> settle()
+                else -> Forwarded.NotRun("no upstream of $service")
+            }
             jobs.forEach { it.cancel() }
             result
         }
 
-        /** Starts an attempt at an upstream that was not used yet. Returns false if there is none. */
+        /** Starts an attempt at an upstream that was not used yet. Returns false if there is none or no time for it. */
         private fun CoroutineScope.startNext(): Boolean {
+            if (!request.enter(clock())) return false
             val upstream = upstreams.choose(service, used) ?: return false
             startAt(upstream)
             return true
@@ -113,7 +122,8 @@
         private suspend fun CoroutineScope.retry() {
             if (started >= route.maximumAttempts || startNext() || !mayReuse()) return
             delay(REUSE_PAUSE)
-            if (!startNext()) upstreams.choose(service, emptySet())?.let { startAt(it) }
+            if (startNext() || !request.enter(clock())) return
+            upstreams.choose(service, emptySet())?.let { startAt(it) }
         }
 
         private suspend fun CoroutineScope.settle(): Forwarded {
@@ -214,6 +224,9 @@
 
         /** Time after which an upstream that refused or lost a request is asked again, if it is the only one left. */
         val REUSE_PAUSE: Duration = 50.milliseconds
+
+        /** Why a request is not passed on that may outlast the service of a process that stops. */
+        const val STOPPING = "the process may end before the request"
         private const val BAD_REQUEST = 400
         private const val MISDIRECTED = 421
         private const val SERVER_FAILURE = 500
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -65,6 +65,7 @@
         val used = HashSet<UpstreamIdentity>()
         var attempts = 0
         while (attempts < request.route.maximumAttempts) {
+            if (!request.enter(clock())) return ForwardedStream.NotRun(Forwarder.STOPPING)
             val upstream = upstreams.choose(service, used) ?: chooseAgain(request, service, attempts) ?: break
             used += upstream.identity
             attempts++
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -60,10 +60,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** A whole entry on the loopback, with a core that knows one configuration and an upstream that takes [work]. */
+/** A whole entry on the loopback, with a core that knows one route of [kind] and an upstream that takes [work]. */
 internal class EntryFixture(
     grace: Duration,
     private val work: Duration,
+    private val kind: RouteKind = RouteKind.REPEATABLE,
 ) : AutoCloseable {
     private val clock = { Moment(System.nanoTime()) }
     private val upstream = startUpstream()
@@ -167,7 +168,8 @@
         override fun configuration(document: ByteArray): Either<ConfigurationFault, ServiceConfiguration> {
             val revision = Revision(document.decodeToString().toLong())
             inForce += revision
-            return ServiceConfiguration(revision, listOf(ROUTE), listOf(ServiceEntry(SERVICE, 100)), null).right()
+            val route = ROUTE.copy(kind = kind)
+            return ServiceConfiguration(revision, listOf(route), listOf(ServiceEntry(SERVICE, 100)), null).right()
         }
 
         override fun listPage(body: ByteArray): ListPage {
@@ -221,7 +223,7 @@
             pathPrefix = "/s/",
             kind = RouteKind.REPEATABLE,
             timeout = 10.seconds,
-            target = 10.seconds,
+            target = 1.seconds,
             priority = 0,
             shares = listOf(ServiceShare(SERVICE, 1)),
             maximumAttempts = 1,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -65,7 +65,9 @@
 
     fun request(kind: RouteKind, within: Duration = 10.seconds, target: Duration = 1.seconds): ForwardedRequest {
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
-        return ForwardedRequest(headers, ByteArray(1), REQUEST, routeOf(kind, target), clock() + within, memory.share())
+        val passage = RequestPassage { null }
+        val route = routeOf(kind, target)
+        return ForwardedRequest(headers, ByteArray(1), REQUEST, route, clock() + within, memory.share(), passage)
     }
 
     /** Head of an answer to the request of this fixture. */
