--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -93,8 +93,8 @@
 
     /** Answers all requests whose answers have not begun: as not run, or with an unknown outcome. */
     fun answerOpenRequests(): Unit = open.toList().forEach { openRequest ->
-        val mayHaveRun = openRequest.passage.end()
-        val answer = if (mayHaveRun) HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT) else refuseStopping(openRequest.request)
+        val hasRun = openRequest.passage.end()
+        val answer = if (hasRun) HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT) else refuseStopping(openRequest.request)
         // Also cancels the coroutine that would have answered, and with it what waits for upstreams.
         openRequest.answer.complete(answer)
     }
@@ -103,17 +103,16 @@
         request: HttpRequest,
         share: AnswerMemory.Share,
         passage: RequestPassage,
-    ): HttpResponse =
-        try {
-            answer(request, share, passage)
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (_: ContentTooLargeException) {
-            HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
-        } catch (failure: Exception) {
-            logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
-            HttpResponse.of(HttpStatus.BAD_GATEWAY)
-        }
+    ): HttpResponse = try {
+        answer(request, share, passage)
+    } catch (cancelled: CancellationException) {
+        throw cancelled
+    } catch (_: ContentTooLargeException) {
+        HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
+    } catch (failure: Exception) {
+        logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
+        HttpResponse.of(HttpStatus.BAD_GATEWAY)
+    }
 
     private fun refuseStopping(request: HttpRequest): HttpResponse =
         refusal(request, RefusalCause.STOPPING, "the process stops")
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/RequestPassage.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/RequestPassage.kt
@@ -43,9 +43,14 @@
         /**
          * Returns whether a request may be passed on at [present] by an entry that serves until [end].
          *
-         * What can't be sent again has to end by its deadline. What may be repeated is tried if it usually ends in time.
+         * What can't be sent again has to end by its deadline. What may be repeated is tried if its target is in time.
          */
-        fun endsInTime(route: Route, deadline: Moment, present: Moment, end: Moment): Boolean = when (route.kind) {
+        fun endsInTime(
+            route: Route,
+            deadline: Moment,
+            present: Moment,
+            end: Moment,
+        ): Boolean = when (route.kind) {
             RouteKind.REPEATABLE -> minOf(deadline, present + route.target) <= end
             RouteKind.AT_MOST_ONCE, RouteKind.EVENT_STREAM, RouteKind.BATCH -> deadline <= end
         }
