--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineThread.kt
@@ -25,7 +25,6 @@
 
     /** Loaded by the first task, as it takes some time. */
     private val threads by lazy { ManagementFactory.getThreadMXBean() }
-    private var processorTime = Duration.ZERO
 
     /** Runs [task] after those that were posted before. */
     fun post(task: () -> Unit): Unit = post(TaskKind.OTHER, task)
@@ -50,16 +49,16 @@
         executor.shutdownNow()
     }
 
-    /** One reading of the clock a task is enough: what lies between two tasks counts for the second one. */
     private fun measured(kind: TaskKind, dueAt: Moment, task: () -> Unit) {
         val delay = now() - dueAt
+        val before = processorTime()
         task()
-        val before = processorTime
-        processorTime =
-            if (threads.isCurrentThreadCpuTimeSupported) threads.currentThreadCpuTime.nanoseconds else before
-        load.onTask(kind, delay, processorTime - before, now())
+        load.onTask(kind, delay, processorTime() - before, now())
     }
 
+    private fun processorTime(): Duration =
+        if (threads.isCurrentThreadCpuTimeSupported) threads.currentThreadCpuTime.nanoseconds else Duration.ZERO
+
     private fun now() = Moment(System.nanoTime())
 
     private fun guarded(event: String, task: () -> Unit) = try {
