Don't elect or step down before a late replica has read what arrived

A follower whose thread was held up for longer than its drawn time-out campaigned at its first tick, before it read the messages of a live leader, and granted pre-votes to others meanwhile. A leader held up right after a check of its quorum stepped down and ended all its runs although the answers of its followers waited to be read. The time between two looks was counted as silence of the others.

Of the time between two steps, half of an election timeout (300 ms) counts at most as silence of the leader; the rest is added to the deadline and to the last contact. A leader that finds no majority in a late step is judged again with each tick for 300 ms. If its next step is late as well, it gets no further time.

Operators see less lines `became_follower` and fewer changes of the leader while processes are out of processor time. A leader that is gone is replaced after 0.6 to 1.2 s by replicas that are in time, as before; one that comes back from a pause campaigns 0.9 s after its return at the latest. No promise of the log depends on these times.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -5,6 +5,7 @@
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteRequest
 import org.zinniahoist.consensus.ReplicaMessageContent.VoteResponse
 import org.zinniahoist.model.Moment
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.nanoseconds
 
 /** Campaigns of a replica and the votes it gives. */
@@ -44,6 +45,12 @@
         resetDeadline()
     }
 
+    /** Waits longer by [late], a time in which this replica could hear nobody. */
+    fun extendDeadline(late: Duration) {
+        deadline += late
+        promptUntil += late
+    }
+
     private fun setPromptDeadline() {
         val shortest = context.options.promptElectionDelay.inWholeNanoseconds
         deadline = context.now + context.random.nextLong(shortest, 3 * shortest).nanoseconds
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Leader.kt
@@ -17,6 +17,7 @@
     private var roundRequested = false
     private var lastHeartbeat: Moment = context.now
     private var lastQuorumCheck: Moment = context.now
+    private var readingUntil: Moment = context.now
     private val membership = Membership(context, progress)
 
     init {
@@ -72,6 +73,11 @@
         if (isEstablished) membership.onJoin(from)?.let(::appendConfiguration)
     }
 
+    /** This replica was held up and has still to read what arrived meanwhile. */
+    fun onLate() {
+        readingUntil = context.now + options.electionTimeout / 2
+    }
+
     /** Returns false if this replica has lost contact to the majority and must step down. */
     fun onTick(): Boolean {
         if (context.now - lastHeartbeat >= options.heartbeatInterval) {
@@ -82,9 +88,11 @@
         if (isEstablished) membership.onTick()?.let(::appendConfiguration)
         if (context.now - lastQuorumCheck < options.electionTimeout) return true
         val since = lastQuorumCheck
-        lastQuorumCheck = context.now
         val present = progress.values.filter { it.lastContact >= since }.map { it.address.identifier }.toSet()
-        return log.configuration.hasMajority(present + context.address.identifier)
+        val hasMajority = log.configuration.hasMajority(present + context.address.identifier)
+        if (!hasMajority && context.now < readingUntil) return true
+        lastQuorumCheck = context.now
+        return hasMajority
     }
 
     fun onAppendResponse(from: ReplicaIdentifier, response: AppendResponse) {
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -13,6 +13,7 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Moment
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /**
  * One replica of a consensus group, as a function of events and the present time to actions (Raft).
@@ -31,6 +32,7 @@
         ReplicaContext(ReplicaAddress(recovered.identifier, instance), options, recovered, random, now)
     private val election = Election(context, ::becomeLeader)
     private val follower = FollowerLog(context)
+    private val lateness = StepLateness(options.electionTimeout / 2)
     private var leader: Leader? = null
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
@@ -78,6 +80,7 @@
     /** Handles [events] at the time [now] as one batch and returns the actions to carry out. */
     public fun step(now: Moment, events: List<ReplicaEvent>): List<ReplicaAction> {
         context.now = now
+        noteLateness()
         events.forEach(::handle)
         leader?.flush()
         applyCommitted()
@@ -86,6 +89,15 @@
         return context.finish()
     }
 
+    /** A leader that is late has time to read once: if its next step is late as well, it is judged as if in time. */
+    private fun noteLateness() {
+        val late = lateness.onStep(context.now)
+        if (late == Duration.ZERO) return
+        election.extendDeadline(late)
+        lastLeaderContact = lastLeaderContact?.plus(late)
+        if (lateness.isFirst) leader?.onLate()
+    }
+
     private fun handle(event: ReplicaEvent) {
         when (event) {
             is ReplicaEvent.Tick -> onTick()
@@ -121,6 +133,7 @@
     }
 
     private fun onTick() {
+        lateness.onTick(context.now)
         val leading = leader
         if (leading != null) {
             if (!leading.onTick()) becomeFollower(term, null)
