--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
@@ -120,7 +120,7 @@
     }
 
     private fun repair(content: FolderContent, isAfterFailure: Boolean) {
-        files.list().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { files.delete(it) }
+        deleteTemporaryFiles(files)
         content.segments.lastOrNull()?.let { if (isAfterFailure) rewrite(it) else makeDurable(it) }
         if (isAfterFailure && content.identifier != null) writeVote(files, content.hardState)
         if (content.entries.isNotEmpty() && content.snapshot != null && content.entriesAfterSnapshot.isEmpty()) {
@@ -218,9 +218,12 @@
             StorageError.Failed(files.location, exception).left()
         }
 
-        /** Writes a file and deletes it, which costs less than to read the folder before a write that fails. */
+        /**
+         * Writes a file and deletes it, which costs less than to read the folder before a write that fails. What failed
+         * writes left behind goes first, since it may be all that keeps the disk full.
+         */
         private fun probe(files: FileStore): Either<StorageError, Unit> = try {
-            if (PROBE in files.list()) files.delete(PROBE)
+            deleteTemporaryFiles(files)
             files.append(PROBE, ByteArray(PROBE_BYTES))
             files.sync(PROBE)
             files.delete(PROBE)
@@ -229,6 +232,9 @@
             StorageError.Failed(files.location, exception).left()
         }
 
+        private fun deleteTemporaryFiles(files: FileStore) =
+            files.list().filter { it.endsWith(TEMPORARY_SUFFIX) }.forEach { files.delete(it) }
+
         private fun writeVote(files: FileStore, hardState: HardState) =
             files.replace(FolderContent.VOTE, FrameCodec.encode(HardState.serializer(), hardState))
 
