Bound what a sidecar collects of its upstream's own answers

An upstream that answers an order, a report or a health check of its sidecar with bytes without end filled the sidecar's memory: these answers are collected whole and had no limit, for two minutes after an order and for a second otherwise. An event of endlessly many lines was collected without a limit too, as only a line had one.

These answers now have a megabyte at most and an event too; what is longer fails and closes the connection. Answers to attempts stay without a limit, since they are passed on as they are read.

--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/EventStreamParser.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/EventStreamParser.kt
@@ -3,9 +3,12 @@
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 
-/** Splits a stream of server-sent events into the data of its events. */
-internal class EventStreamParser(private val maximumLine: Int = 1 shl 20) {
+/** Splits a stream of server-sent events, each of [maximumEvent] bytes at most, into the data of its events. */
+internal class EventStreamParser(private val maximumEvent: Int = 1 shl 20) {
     private val line = ByteArrayOutputStream()
+
+    /** Bytes of the lines of an event that has not ended, without their ends. */
+    private var lineBytes = 0
     private var data: StringBuilder? = null
     private var lastWasReturn = false
 
@@ -17,20 +20,26 @@
             when {
                 byte == NEWLINE && lastWasReturn -> Unit
                 byte == NEWLINE || isReturn -> endLine(events)
-                line.size() >= maximumLine -> throw IOException("an event is longer than $maximumLine bytes")
-                else -> line.write(byte.toInt())
+                lineBytes >= maximumEvent -> throw IOException("an event is longer than $maximumEvent bytes")
+                else -> append(byte)
             }
             lastWasReturn = isReturn
         }
         return events
     }
 
+    private fun append(byte: Byte) {
+        line.write(byte.toInt())
+        lineBytes++
+    }
+
     private fun endLine(events: MutableList<String>) {
         val text = line.toString(Charsets.UTF_8)
         line.reset()
         if (text.isEmpty()) {
             data?.let { events += it.toString() }
             data = null
+            lineBytes = 0
         } else if (text.startsWith(FIELD)) {
             val value = text.substring(FIELD.length).removePrefix(" ")
             data = data?.append('\n')?.append(value) ?: StringBuilder(value)
--- a/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamClient.kt
+++ b/daemon/src/main/kotlin/org/zinniahoist/daemon/sidecar/UpstreamClient.kt
@@ -48,7 +48,7 @@
         .connectTimeout(CONNECT_TIMEOUT)
         .idleTimeout(IDLE_TIMEOUT)
         .build()
-    private val client = webClient(factory, responseTimeout = Duration.ZERO)
+    private val client = webClient(factory, responseTimeout = Duration.ZERO, UNLIMITED)
 
     /** Returns the request of [start], or null if its method or path is not allowed for the upstream. */
     fun prepare(start: AttemptMessage.StartAttempt): HttpRequest? {
@@ -98,13 +98,17 @@
         factory.closeAsync()
     }
 
-    private fun webClient(factory: ClientFactory, responseTimeout: Duration): WebClient =
-        WebClient.builder("h1c://${endpoint.host}:${endpoint.port}")
-            .factory(factory)
-            .responseTimeout(responseTimeout)
-            .writeTimeout(WRITE_TIMEOUT)
-            .maxResponseLength(0)
-            .build()
+    /** Answers of the client that are longer than [maximumLength] fail, and their connections are closed. */
+    private fun webClient(
+        factory: ClientFactory,
+        responseTimeout: Duration,
+        maximumLength: Long = OWN_ANSWER_BYTES,
+    ): WebClient = WebClient.builder("h1c://${endpoint.host}:${endpoint.port}")
+        .factory(factory)
+        .responseTimeout(responseTimeout)
+        .writeTimeout(WRITE_TIMEOUT)
+        .maxResponseLength(maximumLength)
+        .build()
 
     private fun headers(start: AttemptMessage.StartAttempt, method: HttpMethod): RequestHeaders {
         val call = start.call
@@ -137,6 +141,12 @@
         /** An engine loads weights within this time or its swap has failed. */
         private val ORDER_TIMEOUT: Duration = Duration.ofMinutes(2)
 
+        /** Reports and the answers to orders and health checks are collected in memory. */
+        private const val OWN_ANSWER_BYTES = 1L shl 20
+
+        /** Answers to attempts are passed on as they are read, and not held. */
+        private const val UNLIMITED = 0L
+
         /** A path with such a segment could lead out of the allowed prefix. */
         private val DOT_SEGMENT = Regex("(^|/)(\\.|%2e){1,2}(/|\\?|$)", RegexOption.IGNORE_CASE)
 
