Judge the silence of runs only by what was read

The stall was measured on the engine's thread: from the moment at which the start was decided, or an event was handled, to a tick. The executor sorts by due time, so after a delay the tick ran before the events that had arrived meanwhile. A run whose request was not written yet counted as silent as well, and the pace of an upstream was that of the reader.

Now each tick begins a reading: a task goes through the event loop of each connection and back behind all events that these handed over. A run is silent until the begin of the latest reading that has ended at most, and from the writing of its request at the earliest. The time between two readings counts up to half of the stall limit, as in PeerSilence, so that a delay extends the limit and a silent upstream is still left under delays in a row. The pace is taken when bytes arrive.

LateEngineTest plays 224 runs on 28 upstreams in virtual time. A silent upstream is left within 0.8 s by a process that is on time, and within 2.2 s by one that is late by 0.5 s again and again.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -46,11 +46,12 @@
     wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
     random: Random = Random.Default,
+    private val runs: RunConnections = ItemRuns(dialect.headers, calls, machine),
 ) {
     val board = UpstreamBoard()
     private val dispatcher = ItemDispatcher(board)
     private val waits = WaitLog(metrics)
-    private val runs = ItemRuns(dialect.headers, calls, machine)
+    private val readings = AnswerReadings(dispatcher, runs, post)
     private val recorder = ResultRecorder(log, metrics)
     private val textRecorder = TextRecorder(machine, textLog, metrics)
     private val ages = JobAges()
@@ -137,7 +138,7 @@
         val now = clock()
         if (nextReconciliation?.let { now >= it } != false) reconcile(now)
         recorder.tick(now)
-        carryOut(dispatcher.tick(now))
+        carryOut(dispatcher.tick(now, readings.tick(now)))
         textRecorder.tick(now, dispatcher::texts)
         waits.observe(dispatcher.oldestWaiting(now), dispatcher.waitingItems, now)
     }
@@ -255,10 +256,15 @@
     }
 
     private inner class Observer(private val run: Long) : RunObserver {
+        override fun onSent() = post { dispatcher.onSent(run, clock()) }
+
         override fun onBegin(version: WeightVersion?) = post { carryOut(dispatcher.onBegin(run, version, clock())) }
 
-        override fun onEvent(event: StreamEvent) = post {
-            carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock()))
+        override fun onEvent(event: StreamEvent) {
+            val arrivedAt = clock()
+            post {
+                carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock(), arrivedAt))
+            }
         }
 
         override fun onEnd(end: RunEnd) = post {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -16,19 +16,33 @@
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceStateMachine
 
-/** The connections on which items run now. All functions run on the engine's thread. */
+/** Runs items on upstreams. All functions run on the engine's thread. */
+internal interface RunConnections {
+    /** Sends the item of [action] to its upstream; [observer] is told of the answer, or that nothing was sent. */
+    fun start(action: DispatchAction.Start, observer: RunObserver)
+
+    /** Closes the connection of [run], if it is still open. */
+    fun abort(run: Long, reason: String)
+
+    /** The answer to [run] has ended. */
+    fun forget(run: Long)
+
+    /** Calls [action] once the observers were told of all bytes that arrived before this call. */
+    fun whenRead(action: () -> Unit)
+}
+
+/** The connections on which items run now. */
 internal class ItemRuns(
     private val names: HeaderNames,
     private val calls: UpstreamCalls,
     private val machine: ServiceStateMachine,
-) {
+) : RunConnections {
     private val runs = HashMap<Long, ItemRun>()
 
     /** Items that could not be sent, each of which is reported once. */
     private val unsent = LinkedHashSet<ItemKey>()
 
-    /** Sends the item of [action] to its upstream; [observer] is told of the answer, or that nothing was sent. */
-    fun start(action: DispatchAction.Start, observer: RunObserver) {
+    override fun start(action: DispatchAction.Start, observer: RunObserver) {
         val run = try {
             send(action, observer)
         } catch (fault: Exception) {
@@ -43,17 +57,17 @@
         run.start()
     }
 
-    /** Closes the connection of [run], if it is still open. */
-    fun abort(run: Long, reason: String) {
+    override fun abort(run: Long, reason: String) {
         logger.info { "event=run-aborted run=$run reason=\"$reason\"" }
         runs.remove(run)?.abort()
     }
 
-    /** The answer to [run] has ended. */
-    fun forget(run: Long) {
+    override fun forget(run: Long) {
         runs.remove(run)
     }
 
+    override fun whenRead(action: () -> Unit): Unit = calls.whenRead(action)
+
     private fun send(action: DispatchAction.Start, observer: RunObserver): ItemRun? {
         val record = machine.job(JobIdentifier(action.key.job))
         val item = record?.item(action.key.item)
@@ -64,7 +78,8 @@
         val identifier = item.identifier.value
         val limits = AnswerLimits.item(item.tokens)
         val headers = headers(record.job, item, action)
-        val response = calls.open(action.upstream.endpoint, headers, item.body, limits, identifier)
+        val endpoint = action.upstream.endpoint
+        val response = calls.open(endpoint, headers, item.body, limits, identifier, onSent = observer::onSent)
         return ItemRun(names, identifier, observer, limits, response)
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -13,6 +13,9 @@
 
 /** Is told of the answer to one run, from the thread of its connection. */
 internal interface RunObserver {
+    /** The whole request was written. */
+    fun onSent()
+
     fun onBegin(version: WeightVersion?)
 
     fun onEvent(event: StreamEvent)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -18,6 +18,7 @@
 import org.zinniahoist.model.Endpoint
 import java.util.concurrent.CompletionException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.function.Consumer
 import kotlin.time.Duration
@@ -41,6 +42,7 @@
     /**
      * Sends a request whose answer is read as it arrives. Aborting the answer closes the connection. An answer beyond
      * [limits] fails with the cause that [AnswerLimits.exceededBy] finds; [identifier] names the request in the log.
+     * [onSent] is called by the connection's thread once the whole request was written.
      */
     fun open(
         endpoint: Endpoint,
@@ -49,6 +51,7 @@
         limits: AnswerLimits,
         identifier: String? = null,
         timeout: Duration = Duration.ZERO,
+        onSent: () -> Unit = {},
     ): HttpResponse {
         val request = HttpRequest.of(headers, HttpData.wrap(body))
         val options = RequestOptions.builder()
@@ -63,6 +66,7 @@
         response.whenComplete().handle { _, failure ->
             failure?.let(AnswerLimits::exceededBy)?.let { onTooLong(it, endpoint, headers.path(), identifier) }
         }
+        context?.log()?.whenRequestComplete()?.thenAccept { if (it.requestCause() == null) onSent() }
         val limited = limitHeads(response, limits)
         return if (context == null) limited else limited.takenByConnection(context)
     }
@@ -122,6 +126,20 @@
         limits: AnswerLimits = AnswerLimits.CALL,
     ): WholeAnswer? = whole(endpoint, RequestHeaders.of(HttpMethod.GET, path), ByteArray(0), timeout, limits)
 
+    /**
+     * Calls [action] once all connections have handed over the bytes that arrived before this call.
+     *
+     * A delayed task is run in a later round of its event loop, after this round has read its connections.
+     */
+    fun whenRead(action: () -> Unit) {
+        val loops = factory.eventLoopGroup().toList()
+        val unread = AtomicInteger(loops.size)
+        for (loop in loops) {
+            val note = Runnable { if (unread.decrementAndGet() == 0) action() }
+            loop.schedule(note, 1, TimeUnit.MILLISECONDS)
+        }
+    }
+
     override fun close() {
         factory.closeAsync()
     }
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
@@ -0,0 +1,226 @@
+package org.zinniahoist.gateway.core
+
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Nested
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import org.zinniahoist.gateway.entry.UpstreamFixture
+import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.ListedUpstream
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Revision
+import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.routes.RouteTable
+import org.zinniahoist.policy.routes.ServiceConfiguration
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceListener
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.state.service.StoredConfiguration
+import org.zinniahoist.wire.ServiceReply
+import strikt.api.expectThat
+import strikt.assertions.all
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
+import strikt.assertions.isFalse
+import strikt.assertions.isIn
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.microseconds
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+/** A leader whose threads are late while all upstreams go on sending. */
+internal class LateEngineTest : ServiceListener {
+    private val time = VirtualTime()
+    private val runs = VirtualRuns(time)
+    private val calls = UpstreamCalls(UpstreamFixture.Names)
+    private val machine = ServiceStateMachine(this)
+    private var index = 0L
+
+    /** Time that the engine's thread takes for each task that is posted to it. */
+    private var taskCost = Duration.ZERO
+    private val engine = BatchEngine(
+        StubDialect(),
+        calls,
+        machine,
+        { job, result, onReply -> propose(ServiceCommand.RecordResults(job, listOf(result)), onReply) },
+        { job, parts, onReply -> propose(ServiceCommand.RecordTexts(job, parts), onReply) },
+        ::post,
+        { time.now },
+        { time.now.nanoseconds / 1_000_000 },
+        GatewayMetrics(),
+        Random(SEED),
+        runs,
+    )
+
+    @AfterEach
+    fun close() = calls.close()
+
+    private fun post(task: () -> Unit) = time.onEngine {
+        time.spend(taskCost)
+        task()
+    }
+
+    private fun propose(command: ServiceCommand, onReply: (ServiceReply) -> Unit) = post {
+        apply(command)
+        onReply(ServiceReply.Done)
+    }
+
+    private fun apply(command: ServiceCommand) {
+        machine.apply(++index, time.now.nanoseconds / 1_000_000, StateCodec.encode(command))
+    }
+
+    private fun start() {
+        val listed = UPSTREAMS.map { name ->
+            ListedUpstream(name, EngineFixture.SERVICE, Endpoint("127.0.0.1", 1), "a", SLOTS, false, emptyMap())
+        }
+        val items = List(UPSTREAMS.size * SLOTS) { EngineFixture.item("i$it") }
+        time.onEngine {
+            engine.relist(listed)
+            engine.routes =
+                RouteTable(ServiceConfiguration(Revision(1), listOf(EngineFixture.route()), emptyList(), limits = null))
+            engine.activate()
+            apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier("j"), "h", "/s/", items, null)))
+        }
+        time.repeat(TICK, engine::tick)
+    }
+
+    private fun expectAllSound() {
+        expectThat(runs.aborted).describedAs("runs that were broken off").isEmpty()
+        expectThat(runs.started).describedAs("runs").isEqualTo(UPSTREAMS.size * SLOTS)
+        expectThat(engine.board.all).all {
+            get { engine.board.isSuspended(this, time.now) }.describedAs("suspended").isFalse()
+            get { engine.board.paceOf(this) }.describedAs("pace in milliseconds").isIn(SOUND_PACE)
+        }
+    }
+
+    @Nested
+    inner class `While all upstreams send` {
+        /** Guards against a leader that breaks its runs on all upstreams because it was late itself (incident 0003). */
+        @ParameterizedTest
+        @ValueSource(longs = [500, 1_000, 2_000])
+        fun `an engine that is late breaks no run`(delay: Long) {
+            start()
+            time.pass(1.seconds)
+            time.onEngine { time.spend(delay.milliseconds) }
+            time.pass(delay.milliseconds + 1.seconds)
+            expectAllSound()
+        }
+
+        /** Guards against the same where the connections are read late. */
+        @ParameterizedTest
+        @ValueSource(longs = [500, 1_000, 2_000])
+        fun `connections that are read late break no run`(delay: Long) {
+            start()
+            time.pass(1.seconds)
+            time.onConnections(Duration.ZERO) { time.spend(delay.milliseconds) }
+            time.pass(delay.milliseconds + 1.seconds)
+            expectThat(runs.aborted).isEmpty()
+        }
+
+        /** Guards against the same where the whole process had no processor for a time. */
+        @ParameterizedTest
+        @ValueSource(longs = [500, 1_000, 2_000])
+        fun `a process that was held up breaks no run`(delay: Long) {
+            start()
+            time.pass(1.seconds)
+            time.onConnections(Duration.ZERO) { time.spend(delay.milliseconds) }
+            time.onEngine { time.spend(delay.milliseconds) }
+            time.pass(delay.milliseconds + 1.seconds)
+            expectThat(runs.aborted).isEmpty()
+        }
+
+        /** Guards against the same while events come faster than they are handled. */
+        @Test
+        fun `an engine that falls behind more and more breaks no run`() {
+            taskCost = 900.microseconds
+            start()
+            time.pass(4.seconds)
+            expectThat(runs.aborted).isEmpty()
+        }
+    }
+
+    @Nested
+    inner class `At the start of many runs` {
+        /** Guards against runs that count as silent from a moment at which their requests were not sent. */
+        @ParameterizedTest
+        @ValueSource(longs = [2, 4, 9])
+        fun `an engine that is late by their start breaks none`(costOfStart: Long) {
+            runs.startCost = costOfStart.milliseconds
+            start()
+            time.pass(4.seconds)
+            expectAllSound()
+        }
+
+        /** Guards against the same where the connections are opened late. */
+        @ParameterizedTest
+        @ValueSource(longs = [500, 1_000, 2_000])
+        fun `connections that are opened late break none`(delay: Long) {
+            time.onConnections(Duration.ZERO) { time.spend(delay.milliseconds) }
+            start()
+            time.pass(delay.milliseconds + 1.seconds)
+            expectAllSound()
+        }
+    }
+
+    @Nested
+    inner class `An upstream that is really silent` {
+        /** Guards against a judgement of silence that no longer finds an upstream behind a partition. */
+        @Test
+        fun `is left in the stated time`() {
+            start()
+            time.pass(1.seconds)
+            runs.silent += UPSTREAMS.first()
+            time.pass(STALL_LIMIT + TICK * 2)
+            expectThat(runs.aborted).containsExactlyInAnyOrder(List(SLOTS) { UPSTREAMS.first() to "stalled" })
+        }
+
+        /** Guards against a delay that hides the silence of an upstream for good. */
+        @Test
+        fun `is left although the engine is late again and again`() {
+            start()
+            time.pass(1.seconds)
+            runs.silent += UPSTREAMS.first()
+            repeat(DELAYS) {
+                time.onEngine { time.spend(DELAY) }
+                time.pass(DELAY + TICK)
+            }
+            expectThat(runs.aborted).containsExactlyInAnyOrder(List(SLOTS) { UPSTREAMS.first() to "stalled" })
+        }
+    }
+
+    override fun onConfiguration(configuration: StoredConfiguration) = Unit
+
+    override fun onJob(record: JobRecord) = post { engine.onJob(record) }
+
+    override fun onResults(record: JobRecord) = Unit
+
+    override fun onVersion(model: ModelName, version: WeightVersion) = Unit
+
+    private companion object {
+        const val SEED = 22
+        const val SLOTS = 8
+
+        /** As many as the site of the incident has. */
+        val UPSTREAMS = List(28) { UpstreamIdentity("u$it") }
+        val TICK = 50.milliseconds
+        val STALL_LIMIT = 700.milliseconds
+
+        val DELAY = 500.milliseconds
+
+        /** These take 2.2 s together; the longest silence that is borne is 2.5 s. */
+        const val DELAYS = 4
+
+        /** Events come each 150 ms. */
+        val SOUND_PACE = 140.0..160.0
+    }
+}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/NotingObserver.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/NotingObserver.kt
@@ -10,6 +10,8 @@
     val ended = CompletableDeferred<RunEnd>()
     val events = AtomicLong()
 
+    override fun onSent() = Unit
+
     override fun onBegin(version: WeightVersion?) = Unit
 
     override fun onEvent(event: StreamEvent) {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -105,21 +105,40 @@
         return if (state.restart) breakOff(state, "weights changed", now, isUpstreamFault = false) else emptyList()
     }
 
-    /** An event of [run] arrived. [version] is set where the weights changed. */
+    /** The request of [run] was written at [now]; until then its upstream could not answer. */
+    public fun onSent(run: Long, now: Moment) {
+        val current = table.ofRun(run)?.run ?: return
+        current.lastProgress = maxOf(current.lastProgress, now)
+    }
+
+    /** This process handled nothing for [delay], which ended at [until]: no run counts as silent for this time. */
+    public fun onDelay(delay: Duration, until: Moment) {
+        for (run in table.runningItems.mapNotNull { it.run }) {
+            val excused = minOf(run.lastProgress + delay, until)
+            run.lastProgress = maxOf(run.lastProgress, excused)
+        }
+    }
+
+    /**
+     * An event of [run], whose bytes arrived at [arrivedAt], is handled at [now]. [version] is set where the weights
+     * changed.
+     */
     public fun onEvent(
         run: Long,
         number: Long,
         data: String,
         version: WeightVersion?,
         now: Moment,
+        arrivedAt: Moment = now,
     ): List<DispatchAction> {
         val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         val expected = state.text.lastNumber?.plus(1)
         if (expected != null && number != expected) return breakOff(state, "event $number is not $expected", now)
         if (version != null) current.version = version
-        if (current.events > 0) board.onPace(current.upstream, now - current.lastProgress)
+        if (current.events > 0) board.onPace(current.upstream, arrivedAt - current.lastArrival)
         current.events++
+        current.lastArrival = arrivedAt
         current.lastProgress = now
         state.fruitlessRuns = 0
         state.waitingSince = null
@@ -150,14 +169,19 @@
         }
     }
 
-    /** Starts what can be started, moves what has stalled, gives up what is too old. */
-    public fun tick(now: Moment): List<DispatchAction> {
+    /**
+     * Starts what can be started, moves what has stalled, gives up what is too old. All that arrived before [readUntil]
+     * was handled.
+     */
+    public fun tick(now: Moment, readUntil: Moment = now): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
         for (state in table.all.toList()) {
             if (now >= state.work.giveUpAt) actions += giveUp(state)
         }
         for (state in table.runningItems.toList()) {
-            if (placement.isToMove(state, waitingItems > 0, now)) actions += breakOff(state, "stalled", now)
+            if (placement.isToMove(state, waitingItems > 0, now, readUntil)) {
+                actions += breakOff(state, "stalled", now)
+            }
         }
         table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
         actions += table.startWaiting(now) { placement.choose(it, now) }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -43,13 +43,22 @@
         return version >= terms.minimumVersion
     }
 
-    /** Returns true if the run of [state] has stalled, or is slow while nothing waits and another upstream has room. */
-    fun isToMove(state: ItemState, isAnyWaiting: Boolean, now: Moment): Boolean {
+    /**
+     * Returns true if the run of [state] has stalled, or is slow while nothing waits and another upstream has room.
+     *
+     * A run is silent until [readUntil] at most: what arrived later may not have been handled yet.
+     */
+    fun isToMove(
+        state: ItemState,
+        isAnyWaiting: Boolean,
+        now: Moment,
+        readUntil: Moment,
+    ): Boolean {
         val run = state.run ?: return false
         val limit = minOf(options.stallLimit * (1 shl state.moves.coerceAtMost(3)), options.longestStallLimit)
         val card = board.card(run.upstream)
         val allowance = if (card?.isLoading == true) options.loadAllowance else Duration.ZERO
-        if (now - run.lastProgress >= limit + allowance) return true
+        if (readUntil - run.lastProgress >= limit + allowance) return true
         if (card == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
         if (board.paceOf(card) < options.slowFactor * board.medianPace()) return false
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -9,8 +9,11 @@
     val number: Long,
     val upstream: UpstreamIdentity,
     val startedAt: Moment,
+    /** Silence is measured from here. */
     var lastProgress: Moment,
 ) {
+    /** When the bytes of the latest event arrived, which may be long before it was handled. */
+    var lastArrival = startedAt
     var events = 0
     var version: WeightVersion? = null
 }
