--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
@@ -11,6 +11,8 @@
 /** Kinds of tasks of the engine's thread, by which its processor time is shown. */
 internal enum class TaskKind {
     TICK,
+    READING,
+    RUN_SENT,
     RUN_BEGIN,
     RUN_EVENT,
     RUN_END,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -109,21 +109,40 @@
         return if (state.restart) breakOff(state, "weights changed", now, isUpstreamFault = false) else emptyList()
     }
 
-    /** An event of [run] arrived. [version] is set where the weights changed. */
+    /** The request of [run] was written at [now]; until then its upstream could not answer. */
+    public fun onSent(run: Long, now: Moment) {
+        val current = table.ofRun(run)?.run ?: return
+        current.lastProgress = maxOf(current.lastProgress, now)
+    }
+
+    /** This process handled nothing for [delay], which ended at [until]: no run counts as silent for this time. */
+    public fun onDelay(delay: Duration, until: Moment) {
+        for (run in table.runningItems.mapNotNull { it.run }) {
+            val excused = minOf(run.lastProgress + delay, until)
+            run.lastProgress = maxOf(run.lastProgress, excused)
+        }
+    }
+
+    /**
+     * An event of [run], whose bytes arrived at [arrivedAt], is handled at [now]. [version] is set where the weights
+     * changed.
+     */
     public fun onEvent(
         run: Long,
         number: Long,
         data: String,
         version: WeightVersion?,
         now: Moment,
+        arrivedAt: Moment = now,
     ): List<DispatchAction> {
         val state = table.ofRun(run) ?: return emptyList()
         val current = state.run ?: return emptyList()
         val expected = state.text.lastNumber?.plus(1)
         if (expected != null && number != expected) return breakOff(state, "event $number is not $expected", now)
         if (version != null) current.version = version
-        if (current.events > 0) board.onPace(current.upstream, now - current.lastProgress)
+        if (current.events > 0) board.onPace(current.upstream, arrivedAt - current.lastArrival)
         current.events++
+        current.lastArrival = arrivedAt
         current.lastProgress = now
         state.fruitlessRuns = 0
         state.waitingSince = null
@@ -154,13 +173,18 @@
         }
     }
 
-    /** Gives up what is too old, moves what has stalled, starts what can be started. */
-    public fun tick(now: Moment): List<DispatchAction> {
+    /**
+     * Gives up what is too old, moves what has stalled, starts what can be started. All that arrived before [readUntil]
+     * was handled.
+     */
+    public fun tick(now: Moment, readUntil: Moment = now): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
         for (state in table.all.filter { now >= it.work.giveUpAt }) actions += giveUp(state)
         val view = PlacementView(board, now)
         for (state in table.runningItems.toList()) {
-            if (placement.isToMove(state, waitingItems > 0, view)) actions += breakOff(state, "stalled", now)
+            if (placement.isToMove(state, waitingItems > 0, view, readUntil)) {
+                actions += breakOff(state, "stalled", now)
+            }
         }
         return actions + place(now)
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -33,14 +33,23 @@
     private fun candidates(state: ItemState, now: Moment): List<UpstreamCard> =
         board.candidates(state.work.service, now, state.need::isMetBy)
 
-    /** Returns true if the run of [state] has stalled, or is slow while nothing waits and another upstream has room. */
-    fun isToMove(state: ItemState, isAnyWaiting: Boolean, view: PlacementView): Boolean {
+    /**
+     * Returns true if the run of [state] has stalled, or is slow while nothing waits and another upstream has room.
+     *
+     * A run is silent until [readUntil] at most: what arrived later may not have been handled yet.
+     */
+    fun isToMove(
+        state: ItemState,
+        isAnyWaiting: Boolean,
+        view: PlacementView,
+        readUntil: Moment,
+    ): Boolean {
         val run = state.run ?: return false
         val now = view.now
         val limit = minOf(options.stallLimit * (1 shl state.moves.coerceAtMost(3)), options.longestStallLimit)
         val card = board.card(run.upstream)
         val allowance = if (card?.isLoading == true) options.loadAllowance else Duration.ZERO
-        if (now - run.lastProgress >= limit + allowance) return true
+        if (readUntil - run.lastProgress >= limit + allowance) return true
         if (card == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_STAY) return false
         if (view.paceOf(card) < options.slowFactor * view.medianPace) return false
