--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameCompression.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameCompression.kt
@@ -17,7 +17,7 @@
      */
     private const val FEWEST_EQUAL_PAIRS = 8_000
 
-    /** False if [frame] holds mostly what is compressed already, as the entries of a replica's log that list results. */
+    /** False if [frame] holds mostly what is compressed already, as the entries of a log that list results. */
     fun isWorthwhile(frame: ByteArray): Boolean {
         if (frame.size < SAMPLES) return true
         val counts = IntArray(BYTE_VALUES)
--- a/wire/src/test/kotlin/org/zinniahoist/wire/FrameCompressionTest.kt
+++ b/wire/src/test/kotlin/org/zinniahoist/wire/FrameCompressionTest.kt
@@ -54,7 +54,7 @@
         return (threads.currentThreadCpuTime - start) / ROUNDS
     }
 
-    /** Guards against texts, and mixtures of these and of what is compressed, that cross failure domains as they are. */
+    /** Guards against texts, alone or beside what is compressed, that cross failure domains as they are. */
     @Test
     fun `texts are compressed`() {
         val base64 = Base64.getEncoder().encode(Random(1).nextBytes(10_000))
