--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
@@ -54,7 +54,7 @@
         machine,
         { job, result, onReply -> propose(ServiceCommand.RecordResults(job, listOf(result)), onReply) },
         { job, parts, onReply -> propose(ServiceCommand.RecordTexts(job, parts), onReply) },
-        ::post,
+        { _, task -> post(task) },
         { time.now },
         { time.now.nanoseconds / 1_000_000 },
         GatewayMetrics(),
