Judge a lost weight order by when the report was asked for

An order counted as lost, and was given again, if a report without it was handled 1.5 s after the order, even if the upstream had made this report long before and the leader was late. The moment at which the report was asked for decides now. The test failed before (an order was given at 2 s by a report of 1 s).

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -57,10 +57,11 @@
     }
 
     private suspend fun readReport(upstream: ListedUpstream) {
+        val askedAt = clock()
         val answer = calls.get(upstream.endpoint, dialect.paths.report, CALL_TIMEOUT)
         val report = answer?.takeIf { it.status == OK }?.let { dialect.report(it.body) }
         logger.debug { "event=report-read upstream=${upstream.identity} report=$report" }
-        post { loader.onReport(upstream.identity, report, clock()) }
+        post { loader.onReport(upstream.identity, report, clock(), askedAt) }
     }
 
     private suspend fun order(held: OrderRight, action: LoadAction.Order) {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WeightLoader.kt
@@ -139,8 +139,13 @@
         return LoadAction.Order(load.card.listed, load.model, load.version, mode, report.acceptedOrders)
     }
 
-    /** The report of an upstream arrived, or null if it can't be had. */
-    public fun onReport(upstream: UpstreamIdentity, report: UpstreamReport?, now: Moment) {
+    /** The report for which an upstream was asked at [askedAt] is handled at [now], or null if it can't be had. */
+    public fun onReport(
+        upstream: UpstreamIdentity,
+        report: UpstreamReport?,
+        now: Moment,
+        askedAt: Moment = now,
+    ) {
         val load = loads[upstream] ?: return
         if (report == null) {
             load.misses++
@@ -153,7 +158,7 @@
         when {
             reached && !report.isBusy -> succeed(load)
             load.orderedAt == null -> load.report = report
-            !report.isBusy && isLost(load, report, now) -> orderAgainOrRest(load, report, now)
+            !report.isBusy && isLost(load, report, askedAt) -> orderAgainOrRest(load, report, now)
         }
     }
 
@@ -167,11 +172,14 @@
         finish(load)
     }
 
-    /** An order that was accepted shows in the number of orders; the report lags a little. */
-    private fun isLost(load: WeightLoad, report: UpstreamReport, now: Moment): Boolean {
+    /**
+     * An order that was accepted shows in the number of orders; the report lags a little. One that was asked for before
+     * this lag had passed shows nothing, however late it is handled.
+     */
+    private fun isLost(load: WeightLoad, report: UpstreamReport, askedAt: Moment): Boolean {
         val orderedAt = load.orderedAt ?: return false
         val before = load.report?.acceptedOrders ?: return true
-        return report.acceptedOrders != before || now - orderedAt >= REPORT_LAG
+        return report.acceptedOrders != before || askedAt - orderedAt >= REPORT_LAG
     }
 
     /** The upstream answered an order. */
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/WeightLoaderTest.kt
@@ -90,6 +90,18 @@
         expectThat(tick(start + 2.seconds).filterIsInstance<LoadAction.Order>()).hasSize(1)
     }
 
+    /** Guards against an order that counts as lost because its leader was late: the report is older than the order. */
+    @Test
+    fun `does not order again by an early report that is handled late`() {
+        board.relist(listOf(upstream("a")))
+        loader.onNamed(model, WeightVersion(2))
+        order("a", start)
+        loader.onOrderAnswer(UpstreamIdentity("a"), OrderAnswer.UNKNOWN, start)
+        val early = report(version = 1, orders = 3)
+        loader.onReport(UpstreamIdentity("a"), early, now = start + 2.seconds, askedAt = start + 1.seconds)
+        expectThat(tick(start + 2.seconds).filterIsInstance<LoadAction.Order>()).isEmpty()
+    }
+
     /**
      * Guards against an upstream that gets no item for good because its loads fail: it accepts each order and goes on
      * under its old weights, which many items allow.
