Bound small answers of upstreams in an entry as well

The first 64 KiB of each request's answer always had room, whatever the entry held already. Upstreams that send bytes without end, on more connections than the heap has room for 64 KiB each, could therefore fill it, and all requests of the entry would end with it.

What finds no room is lost as before.

AnswerMemoryTest, 100 answers of 64 KiB with a bound of 1,000,000 bytes: 6,553,600 bytes were held before; now at most 1,500,000. The test failed before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/AnswerMemory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/AnswerMemory.kt
@@ -6,9 +6,13 @@
 /** The process holds so many bytes of answers that this one has no room; nothing of it is used. */
 internal class AnswerMemoryException(maximum: Long) : IOException("no room for the answer: maximum=$maximum")
 
-/** Bounds the bytes of all answers that a process holds at once until their clients have them. */
+/**
+ * Bounds the bytes of all answers that a process holds at once until their clients have them. Large answers take up to
+ * [maximumBytes]; the first [ALWAYS_HELD_BYTES] of each request may take half as much beyond that.
+ */
 internal class AnswerMemory(private val maximumBytes: Long) {
     private val held = AtomicLong()
+    private val maximumWithSmall = maximumBytes + maximumBytes / 2
 
     /** Bytes of answers that are held now. */
     val heldBytes: Long get() = held.get()
@@ -22,17 +26,18 @@
         private var isClosed = false
 
         /**
-         * Notes [count] more bytes. The first [ALWAYS_HELD_BYTES] of a request always have room.
+         * Notes [count] more bytes. The first [ALWAYS_HELD_BYTES] of a request have room that large answers don't take.
          *
          * @throws AnswerMemoryException if they have no room, or if nobody waits for the answer any more.
          */
         @Synchronized
         fun add(count: Int) {
             val total = held.addAndGet(count.toLong())
-            val isTooMuch = total > maximumBytes && bytes + count > ALWAYS_HELD_BYTES
+            val limit = if (bytes + count > ALWAYS_HELD_BYTES) maximumBytes else maximumWithSmall
+            val isTooMuch = total > limit
             if (isClosed || isTooMuch) {
                 held.addAndGet(-count.toLong())
-                throw AnswerMemoryException(maximumBytes)
+                throw AnswerMemoryException(limit)
             }
             bytes += count
         }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/AnswerMemoryTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/AnswerMemoryTest.kt
@@ -6,6 +6,7 @@
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
 import strikt.assertions.isFailure
+import strikt.assertions.isLessThanOrEqualTo
 
 internal class AnswerMemoryTest {
     private val memory = AnswerMemory(MAXIMUM)
@@ -41,6 +42,16 @@
         expectCatching { small.add(1) }.isFailure().isA<AnswerMemoryException>()
     }
 
+    /** Guards against many small answers at once that together fill the memory of the process. */
+    @Test
+    fun `small answers together have a bound`() {
+        repeat(100) {
+            val small = memory.share()
+            runCatching { small.add(AnswerMemory.ALWAYS_HELD_BYTES.toInt()) }
+        }
+        expectThat(memory.heldBytes).isLessThanOrEqualTo(MAXIMUM + MAXIMUM / 2)
+    }
+
     private companion object {
         const val MAXIMUM = 1_000_000L
     }
