Let entries make the pages of results

There is one leader, and there are many entries.

The leader now sends the bytes of the commands that listed the results, as the log holds them, compressed, and the entry expands and encodes them. An entry says that it takes such an answer; one of an earlier release gets the page as before, and an earlier leader ignores the field. A page ends where it ended before, at some 900 kB, and holds results of 256 KiB of commands at most.

`the leader expands no result for an entry that does so itself` guards this; the field that it sets is unknown to the code before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCalls.kt
@@ -7,11 +7,12 @@
 import org.zinniahoist.consensus.GroupFailure
 import org.zinniahoist.consensus.GroupHost
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.ResultPages
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.state.StateCodec
-import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.PackedResults
 import org.zinniahoist.state.service.ServiceAnswer
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceStateMachine
@@ -26,6 +27,7 @@
     private val machine: ServiceStateMachine,
     private val host: () -> GroupHost,
 ) {
+    private val pages = ResultPages(dialect)
     private val waiters = ConcurrentHashMap<JobIdentifier, CompletableDeferred<Unit>>()
 
     /** Wakes the readers of a job that changed. */
@@ -79,7 +81,7 @@
         awaitResult(record, call)
         if (!recipient.isWaiting) return GIVEN_UP
         if (!recipient.awaitRoom()) return ServiceReply.Unavailable("too many results wait for their readers")
-        return ServiceReply.Content(page(record, call.after))
+        return page(record, call)
     }
 
     private suspend fun awaitResult(record: JobRecord, call: ServiceCall.ReadJob) {
@@ -92,16 +94,15 @@
         }
     }
 
-    private fun page(record: JobRecord, after: Int): ByteArray {
-        val page = ArrayList<ItemResult>()
-        var bytes = 0
-        for (listed in record.results.drop(after)) {
-            val result = listed.whole()
-            bytes += dialect.sizeOf(result)
-            if (page.isNotEmpty() && bytes > PAGE_BYTES) break
-            page += result
+    /** An entry makes the page itself from what the log holds, as there are many entries and one leader. */
+    private fun page(record: JobRecord, call: ServiceCall.ReadJob): ServiceReply {
+        val total = record.job.items.size
+        val results = record.results.drop(call.after)
+        if (!call.acceptsPacked) {
+            return ServiceReply.Content(pages.page(total, call.after, results.asSequence().map { it.whole() }))
         }
-        return dialect.jobPage(record.job.items.size, after, page)
+        val packed = PackedResults.of(results, PACKED_PAGE_BYTES)
+        return ServiceReply.Results(total, call.after, StateCodec.encode(packed))
     }
 
     private fun readItem(call: ServiceCall.ReadItem): ServiceReply {
@@ -147,7 +148,7 @@
         val NOTHING = ByteArray(0)
         val GIVEN_UP = ServiceReply.Unavailable("the caller has given up")
 
-        /** Below the megabyte that a reader accepts, with room for the names of fields. */
-        const val PAGE_BYTES = 900_000
+        /** Results that hardly shrink fill some 700 kB of a page from these; of others an entry uses the first. */
+        const val PACKED_PAGE_BYTES = 256 shl 10
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.future.future
 import org.zinniahoist.gateway.dialect.ClientCall
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.ResultPages
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.AnswerMemory
@@ -52,6 +53,7 @@
     private val names = dialect.headers
     private val forwarder = Forwarder(names, calls, directory, clock)
     private val streams = StreamForwarder(names, calls, directory, scope, clock, random)
+    private val pages = ResultPages(dialect)
     private val inFlight = AtomicInteger()
 
     /** The routes in force, or null before they are known. */
@@ -201,6 +203,7 @@
                 call.job,
                 call.after,
                 wait.coerceIn(0, LONGEST_WAIT_MILLISECONDS),
+                acceptsPacked = true,
             )
             is ClientCall.ReadItem -> ServiceCall.ReadItem(call.job, call.item)
             is ClientCall.EndJob -> ServiceCall.EndJob(call.job)
@@ -217,11 +220,9 @@
     private fun respond(request: HttpRequest, reply: ServiceReply, success: HttpStatus): HttpResponse = when (reply) {
         is ServiceReply.Done -> HttpResponse.of(success, MediaType.JSON, "{}")
 
-        is ServiceReply.Content ->
-            HttpResponse.of(
-                ResponseHeaders.of(success, "content-type", "application/json"),
-                HttpData.wrap(reply.content),
-            )
+        is ServiceReply.Content -> json(success, reply.content)
+
+        is ServiceReply.Results -> json(success, pages.page(reply))
 
         is ServiceReply.NotFound -> HttpResponse.of(HttpStatus.NOT_FOUND)
 
@@ -232,6 +233,9 @@
         else -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
     }
 
+    private fun json(status: HttpStatus, content: ByteArray): HttpResponse =
+        HttpResponse.of(ResponseHeaders.of(status, "content-type", "application/json"), HttpData.wrap(content))
+
     /** The request has not run and will not run. */
     private fun refusal(request: HttpRequest, cause: RefusalCause, reason: String): HttpResponse {
         val identifier = request.headers().get(names.requestIdentifier)
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LinkAnswersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LinkAnswersTest.kt
@@ -17,6 +17,7 @@
 import org.zinniahoist.consensus.ReplicaAddress
 import org.zinniahoist.consensus.ReplicaIdentifier
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.ResultPages
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
@@ -32,10 +33,12 @@
 import org.zinniahoist.wire.Message
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceMessage
+import org.zinniahoist.wire.ServiceReply
 import org.zinniahoist.wire.UnsentFrames
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.hasSize
+import strikt.assertions.isA
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import java.nio.file.Path
@@ -118,6 +121,18 @@
         ),
     )
 
+    /** Guards against a leader whose processor time is spent on pages that the entries could make. */
+    @Test
+    fun `the leader expands no result for an entry that does so itself`(): Unit = runBlocking {
+        begin()
+        val call = ServiceCall.ReadJob("j", after = 0, waitMilliseconds = 0, acceptsPacked = true)
+        answer(answers.begin(link, ServiceMessage.Call(1, call)))
+        expectThat(pagesMade).isEqualTo(0)
+        val results = link.replies.single().reply
+        expectThat(results).isA<ServiceReply.Results>().get { ResultPages(PageDialect()).page(this).size }
+            .isEqualTo(PAGE_BYTES)
+    }
+
     private suspend fun answer(vararg pending: LinkAnswers.PendingAnswer?) =
         pending.filterNotNull().forEach { answers.answer(it) }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -102,7 +102,7 @@
 public class ListedResult internal constructor(
     result: ItemResult,
     internal val command: ByteArray,
-    private val position: Int,
+    internal val position: Int,
 ) {
     public val item: RequestIdentifier = result.item
     public val isCompleted: Boolean = result.isCompleted
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -87,6 +87,8 @@
         public val job: String,
         public val after: Int,
         public val waitMilliseconds: Long,
+        /** True if the caller takes [ServiceReply.Results] as well. */
+        public val acceptsPacked: Boolean = false,
     ) : ServiceCall
 
     /** The body of an item. */
@@ -125,6 +127,18 @@
     @SerialName("content")
     public class Content(@ByteString public val content: ByteArray) : ServiceReply
 
+    /**
+     * Results of a job with [total] items from position [after] on, as the log holds them: the replica that leads
+     * expands none of them.
+     */
+    @Serializable
+    @SerialName("results")
+    public class Results(
+        public val total: Int,
+        public val after: Int,
+        @ByteString public val content: ByteArray,
+    ) : ServiceReply
+
     /** No such job, item or configuration. */
     @Serializable
     @SerialName("not-found")
