--- a/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
+++ b/daemon/src/test/kotlin/org/zinniahoist/daemon/sidecar/FakeLink.kt
@@ -22,7 +22,7 @@
     clock: () -> Moment,
     role: Role = Role.ENTRY,
 ) : LinkConnection {
-    private val received = MutableStateFlow<List<Message>>(emptyList())
+    private val messages = MutableStateFlow<List<Message>>(emptyList())
     private val heartbeats = mapOf(HEARTBEAT to clock())
 
     @Volatile
@@ -44,28 +44,28 @@
 
     override fun offer(message: Message): Boolean {
         if (closedWith != null) return false
-        received.update { it + message }
+        messages.update { it + message }
         return true
     }
 
     override fun close(reason: String) {
         closedWith = reason
-        received.update { it + LinkMessage.Goodbye(reason) }
+        messages.update { it + LinkMessage.Goodbye(reason) }
     }
 
-    fun chunks(attempt: String): List<AttemptChunk> = chunksIn(received.value, attempt)
+    fun chunks(attempt: String): List<AttemptChunk> = chunksIn(messages.value, attempt)
 
     /** Waits until [count] chunks of [attempt] are there. */
     suspend fun awaitChunks(attempt: String, count: Int) {
-        received.first { chunksIn(it, attempt).size >= count }
+        messages.first { chunksIn(it, attempt).size >= count }
     }
 
     /** Waits for the end of [attempt]. Fails if the link was closed without one. */
-    suspend fun end(attempt: String): AttemptEnd = received
+    suspend fun end(attempt: String): AttemptEnd = messages
         .first { messages -> messages.any { it is LinkMessage.Goodbye || isEndOf(attempt, it) } }
         .single { isEndOf(attempt, it) } as AttemptEnd
 
-    fun hasEnded(attempt: String): Boolean = received.value.any { isEndOf(attempt, it) }
+    fun hasEnded(attempt: String): Boolean = messages.value.any { isEndOf(attempt, it) }
 
     /** Breaks the link. */
     fun lose() {
