--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
@@ -82,15 +82,15 @@
     private fun line(span: Span): String {
         val total = span.costs.fold(Duration.ZERO) { sum, cost -> sum + cost.processor }
         val kinds = span.costs.joinToString("") {
-            " ${it.kind.label}=${it.tasks} ${it.kind.label}-ms=${it.processor.ms}"
+            " ${it.kind.label}=${it.tasks} ${it.kind.label}-ms=${it.processor.tenths}"
         }
         return "event=engine interval-ms=${span.time.inWholeMilliseconds} tasks=${span.costs.sumOf { it.tasks }} " +
-            "processor-ms=${total.ms} longest-delay-ms=${span.longestDelay.ms} longest-task-ms=${longestTask.ms} " +
-            "longest-task=${longestKind.label}$kinds"
+            "processor-ms=${total.tenths} longest-delay-ms=${span.longestDelay.tenths} " +
+            "longest-task-ms=${longestTask.tenths} longest-task=${longestKind.label}$kinds"
     }
 
-    /** Tenths are enough, and cheaper to write than a format. */
-    private val Duration.ms: Double get() = inWholeMicroseconds / 100 / 10.0
+    /** Milliseconds with one digit after the point. */
+    private val Duration.tenths: Double get() = inWholeMicroseconds / 100 / 10.0
 
     private class TaskCost(
         val kind: TaskKind,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineLoadTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineLoadTest.kt
@@ -23,7 +23,7 @@
         cost: Duration = Duration.ZERO,
     ) = load.onTask(kind, delay, cost, Moment.ZERO + at)
 
-    /** Guards against a leader whose thread is late, or at its limit, without a word about which tasks took the time. */
+    /** Guards against a leader that is late, or at its limit, without a word about which tasks took the time. */
     @Test
     fun `the line states processor time by kind of task and the longest delay`() {
         val metrics = GatewayMetrics()
