Hand the events of a run that arrive together to the engine in one task

Callers saw rollouts of the grown sites come late while the leader had no processor time left.

Cause: each event of a run was a task of the engine's thread, and each piece of an answer one more.

All events of a piece are handed over in one task, after which the next piece may be read. One that fails does not keep the next piece from being read.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -262,13 +262,20 @@
             carryOut(dispatcher.onBegin(run, version, clock()))
         }
 
-        override fun onEvent(event: StreamEvent) {
+        override fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit) {
             val arrivedAt = clock()
-            post(TaskKind.RUN_EVENT) {
-                carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock(), arrivedAt))
+            post(TaskKind.RUN_EVENTS) {
+                try {
+                    events.forEach { onEvent(it, arrivedAt) }
+                } finally {
+                    whenTaken()
+                }
             }
         }
 
+        private fun onEvent(event: StreamEvent, arrivedAt: Moment) =
+            carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock(), arrivedAt))
+
         override fun onEnd(end: RunEnd) = post(TaskKind.RUN_END) {
             runs.forget(run)
             metrics.onEvent("run", end.javaClass.simpleName)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
@@ -14,7 +14,7 @@
     READING,
     RUN_SENT,
     RUN_BEGIN,
-    RUN_EVENT,
+    RUN_EVENTS,
     RUN_END,
     RUN_TAKEN,
     OTHER,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -18,7 +18,8 @@
 
     fun onBegin(version: WeightVersion?)
 
-    fun onEvent(event: StreamEvent)
+    /** [events] arrived together. Calls [whenTaken] once these and everything before have been dealt with. */
+    fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit)
 
     fun onEnd(end: RunEnd)
 
@@ -59,13 +60,13 @@
 
     override fun onNext(next: HttpObject) {
         if (isOver) return
-        when (next) {
-            is ResponseHeaders -> if (!next.status().isInformational) begin(next)
-            is HttpData -> read(next.array())
-        }
-        observer.whenTaken { subscription.request(1) }
+        if (next is ResponseHeaders && !next.status().isInformational) begin(next)
+        val events = if (next is HttpData) read(next.array()) else emptyList()
+        if (events.isEmpty()) observer.whenTaken(::requestNext) else observer.onEvents(events, ::requestNext)
     }
 
+    private fun requestNext(): Unit = subscription.request(1)
+
     private fun begin(headers: ResponseHeaders) {
         val status = headers.status().code()
         val echoed = headers.get(names.requestIdentifier)
@@ -91,15 +92,18 @@
         }
     }
 
-    private fun read(bytes: ByteArray) {
-        if (refusal != null) return
+    /** Returns the events that [bytes] completes; none after the run was broken off. */
+    private fun read(bytes: ByteArray): List<StreamEvent> {
+        if (refusal != null) return emptyList()
         try {
-            val complete = parser.feed(bytes) ?: return breakOff(RunEnd.Broken("not an event"))
-            events += complete.size
+            val complete = parser.feed(bytes)
+            if (complete == null) breakOff(RunEnd.Broken("not an event"))
+            events += complete?.size ?: 0
             if (events > limits.events) throw AnswerTooLongException(AnswerPart.EVENTS, limits.events)
-            complete.forEach(observer::onEvent)
+            return complete.orEmpty()
         } catch (exceeded: AnswerTooLongException) {
             breakOff(RunEnd.Broken(exceeded.toString(), isTextSound = false), exceeded)
+            return emptyList()
         }
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineLoadTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineLoadTest.kt
@@ -29,23 +29,23 @@
         val metrics = GatewayMetrics()
         load.show(metrics)
         task(TaskKind.TICK, at = 0.milliseconds, cost = 2.milliseconds)
-        repeat(100) { task(TaskKind.RUN_EVENT, at = 500.milliseconds, cost = 40.microseconds) }
+        repeat(100) { task(TaskKind.RUN_EVENTS, at = 500.milliseconds, cost = 40.microseconds) }
         task(TaskKind.RUN_END, at = 900.milliseconds, delay = 120.milliseconds, cost = 3.milliseconds)
         task(TaskKind.TICK, at = 1_250.milliseconds, delay = 30.milliseconds, cost = 1.milliseconds)
         expectThat(lines).single().isEqualTo(
             "event=engine interval-ms=1250 tasks=103 processor-ms=10.0 longest-delay-ms=120.0 " +
-                "longest-task-ms=3.0 longest-task=run-end tick=2 tick-ms=3.0 run-event=100 run-event-ms=4.0 " +
+                "longest-task-ms=3.0 longest-task=run-end tick=2 tick-ms=3.0 run-events=100 run-events-ms=4.0 " +
                 "run-end=1 run-end-ms=3.0",
         )
         expectThat(metrics.text()).contains("zinniahoist_engine_delay_seconds 0.12")
-        expectThat(metrics.text()).contains("zinniahoist_engine_processor_share{task=\"run-event\"} 0.0032")
-        expectThat(metrics.text()).contains("zinniahoist_engine_task_rate{task=\"run-event\"} 80.0")
+        expectThat(metrics.text()).contains("zinniahoist_engine_processor_share{task=\"run-events\"} 0.0032")
+        expectThat(metrics.text()).contains("zinniahoist_engine_task_rate{task=\"run-events\"} 80.0")
     }
 
     /** Guards against figures that hold all seconds before, and against more than one line a second. */
     @Test
     fun `a line holds what came after the one before`() {
-        repeat(400) { task(TaskKind.RUN_EVENT, at = (10 * it).milliseconds, cost = 1.milliseconds) }
+        repeat(400) { task(TaskKind.RUN_EVENTS, at = (10 * it).milliseconds, cost = 1.milliseconds) }
         expectThat(lines).hasSize(3)
         expectThat(lines.last()).contains("interval-ms=1000 tasks=100 processor-ms=100.0 ")
     }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
@@ -41,9 +41,9 @@
     @Test
     fun `the time from the post of a task to its start is shown`() {
         val line = CompletableFuture<String>()
-        EngineThread(EngineLoad { if ("run-event" in it) line.complete(it) }, onFailure = {}).use { thread ->
+        EngineThread(EngineLoad { if ("run-events" in it) line.complete(it) }, onFailure = {}).use { thread ->
             thread.post { spin(HELD) }
-            thread.post(TaskKind.RUN_EVENT) {}
+            thread.post(TaskKind.RUN_EVENTS) {}
             thread.repeat(10.milliseconds) {}
             val delay = DELAY.find(line.get(10, TimeUnit.SECONDS))?.groupValues?.get(1)?.toDouble()
             expectThat(delay).isNotNull().isGreaterThanOrEqualTo(HELD.inWholeMilliseconds.toDouble())
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/VirtualRuns.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/VirtualRuns.kt
@@ -55,7 +55,8 @@
 
     private fun next(run: VirtualRun, number: Long) {
         if (!isOpen(run)) return
-        if (run.upstream !in silent) run.observer.onEvent(StreamEvent(number, "text", version = null))
+        val event = StreamEvent(number, "text", version = null)
+        if (run.upstream !in silent) run.observer.onEvents(listOf(event)) {}
         time.onConnections(PACE) {
             if (number < EVENTS) next(run, number + 1) else end(run)
         }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/CutAnswerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/CutAnswerTest.kt
@@ -85,7 +85,7 @@
             reset()
         }
         val observer = object : NotingObserver() {
-            override fun onEvent(event: StreamEvent) = isRead.countDown()
+            override fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit) = isRead.countDown()
         }
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", UpstreamFixture.Names.requestIdentifier, "r1")
         val limits = AnswerLimits.item(TOKENS)
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
@@ -57,6 +57,19 @@
         expectClosed(endless)
     }
 
+    /** Guards against a leader whose thread wakes up once for each event of a piece, and once more for the piece. */
+    @Test
+    fun `events that arrive together are handed over together`() {
+        val upstream = fixture.rawUpstream {
+            text("${EndlessAnswer.head()}\r\n" + (1..TOKENS).joinToString("") { "id: $it\ndata: t\n\n" })
+            close()
+        }
+        val observer = NotingObserver()
+        end(upstream, observer)
+        expectThat(observer.events.get()).isEqualTo(TOKENS.toLong())
+        expectThat(observer.pieces.get()).isLessThan(TOKENS / 2L)
+    }
+
     /** Guards against a result with text that is none of the item's. */
     @Test
     fun `events without end are not the item's text`() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/NotingObserver.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/NotingObserver.kt
@@ -10,12 +10,17 @@
     val ended = CompletableDeferred<RunEnd>()
     val events = AtomicLong()
 
+    /** Number of calls that handed over events. */
+    val pieces = AtomicLong()
+
     override fun onSent() = Unit
 
     override fun onBegin(version: WeightVersion?) = Unit
 
-    override fun onEvent(event: StreamEvent) {
-        events.incrementAndGet()
+    override fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit) {
+        this.events.addAndGet(events.size.toLong())
+        pieces.incrementAndGet()
+        whenTaken(whenTaken)
     }
 
     override fun onEnd(end: RunEnd) {
