--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -3,14 +3,11 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.metrics.GatewayMetrics
-import org.zinniahoist.gateway.upstream.RunObserver
-import org.zinniahoist.gateway.upstream.StreamEvent
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
-import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.CancelledJob
 import org.zinniahoist.policy.dispatch.DispatchAction
 import org.zinniahoist.policy.dispatch.ItemDispatcher
@@ -238,7 +235,7 @@
             "event=run-started run=${action.run} item=${action.key.item} job=${action.key.job} " +
                 "upstream=${action.upstream.identity} after=${action.afterEvent} waiting=${dispatcher.waitingItems}"
         }
-        runs.start(action, Observer(action.run))
+        runs.start(action, PostedRunObserver(action.run, dispatcher, post, clock, ::carryOut, ::onEnd))
     }
 
     private fun finish(action: DispatchAction.Finish) {
@@ -255,45 +252,13 @@
         recorder.record(JobIdentifier(action.key.job), result, clock())
     }
 
-    private inner class Observer(private val run: Long) : RunObserver {
-        override fun onSent() = post(TaskKind.RUN_SENT) { dispatcher.onSent(run, clock()) }
-
-        override fun onBegin(version: WeightVersion?) = post(TaskKind.RUN_BEGIN) {
-            carryOut(dispatcher.onBegin(run, version, clock()))
-        }
-
-        override fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit) {
-            val arrivedAt = clock()
-            post(TaskKind.RUN_EVENTS) {
-                try {
-                    events.forEach { onEvent(it, arrivedAt) }
-                } finally {
-                    whenTaken()
-                }
-            }
-        }
-
-        private fun onEvent(event: StreamEvent, arrivedAt: Moment) =
-            carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock(), arrivedAt))
-
-        override fun onEnd(end: RunEnd) = post(TaskKind.RUN_END) {
-            runs.forget(run)
-            metrics.onEvent("run", end.javaClass.simpleName)
-            log(end)
-            val now = clock()
-            carryOut(dispatcher.onEnd(run, end, now))
-            // What is due by time waits for the next tick; runs end far more often.
-            if (isActive) carryOut(dispatcher.place(now))
-        }
-
-        private fun log(end: RunEnd) = when (end) {
-            is RunEnd.Broken -> logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
-            is RunEnd.NotRun -> logger.info { "event=run-refused run=$run reason=\"no place\"" }
-            is RunEnd.Misdirected -> logger.info { "event=run-refused run=$run reason=\"another upstream\"" }
-            is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible, is RunEnd.NotSent -> Unit
-        }
-
-        override fun whenTaken(action: () -> Unit) = post(TaskKind.RUN_TAKEN, action)
+    private fun onEnd(run: Long, end: RunEnd) {
+        runs.forget(run)
+        metrics.onEvent("run", end.javaClass.simpleName)
+        val now = clock()
+        carryOut(dispatcher.onEnd(run, end, now))
+        // What is due by time waits for the next tick; runs end far more often.
+        if (isActive) carryOut(dispatcher.place(now))
     }
 
     private companion object {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/PostedRunObserver.kt
@@ -0,0 +1,63 @@
+package org.zinniahoist.gateway.core
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.zinniahoist.gateway.upstream.RunObserver
+import org.zinniahoist.gateway.upstream.StreamEvent
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.DispatchAction
+import org.zinniahoist.policy.dispatch.ItemDispatcher
+import org.zinniahoist.policy.dispatch.RunEnd
+
+/**
+ * Hands what happens to one [run] over to [dispatcher] on the engine's thread.
+ *
+ * @param carryOut carries out what the dispatcher decides.
+ * @param onEnd told of the end of the run, on the engine's thread.
+ */
+internal class PostedRunObserver(
+    private val run: Long,
+    private val dispatcher: ItemDispatcher,
+    private val post: (TaskKind, () -> Unit) -> Unit,
+    private val clock: () -> Moment,
+    private val carryOut: (List<DispatchAction>) -> Unit,
+    private val onEnd: (Long, RunEnd) -> Unit,
+) : RunObserver {
+    override fun onSent() = post(TaskKind.RUN_SENT) { dispatcher.onSent(run, clock()) }
+
+    override fun onBegin(version: WeightVersion?) = post(TaskKind.RUN_BEGIN) {
+        carryOut(dispatcher.onBegin(run, version, clock()))
+    }
+
+    override fun onEvents(events: List<StreamEvent>, whenTaken: () -> Unit) {
+        val arrivedAt = clock()
+        post(TaskKind.RUN_EVENTS) {
+            try {
+                events.forEach { onEvent(it, arrivedAt) }
+            } finally {
+                whenTaken()
+            }
+        }
+    }
+
+    private fun onEvent(event: StreamEvent, arrivedAt: Moment) =
+        carryOut(dispatcher.onEvent(run, event.number, event.data, event.version, clock(), arrivedAt))
+
+    override fun onEnd(end: RunEnd) = post(TaskKind.RUN_END) {
+        log(end)
+        onEnd(run, end)
+    }
+
+    override fun whenTaken(action: () -> Unit) = post(TaskKind.RUN_TAKEN, action)
+
+    private fun log(end: RunEnd) = when (end) {
+        is RunEnd.Broken -> logger.info { "event=run-broken run=$run reason=\"${end.reason}\"" }
+        is RunEnd.NotRun -> logger.info { "event=run-refused run=$run reason=\"no place\"" }
+        is RunEnd.Misdirected -> logger.info { "event=run-refused run=$run reason=\"another upstream\"" }
+        is RunEnd.Completed, is RunEnd.Failed, is RunEnd.Impossible, is RunEnd.NotSent -> Unit
+    }
+
+    private companion object {
+        val logger = KotlinLogging.logger {}
+    }
+}
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -116,3 +116,10 @@
         public val reason: String,
     ) : DispatchAction
 }
+
+/** What remains of a job that was cancelled. */
+public class CancelledJob(
+    public val aborts: List<DispatchAction.Abort>,
+    /** Text of the unfinished items, for a later job that holds them again. */
+    public val texts: Map<RequestIdentifier, ItemText>,
+)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -2,7 +2,6 @@
 
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
-import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
 import kotlin.random.Random
 import kotlin.time.Duration
@@ -292,10 +291,3 @@
         const val MAXIMUM_DOUBLINGS = 5
     }
 }
-
-/** What remains of a job that was cancelled. */
-public class CancelledJob(
-    public val aborts: List<DispatchAction.Abort>,
-    /** Text of the unfinished items, for a later job that holds them again. */
-    public val texts: Map<RequestIdentifier, ItemText>,
-)
