Elect a leader without an election timeout after a common restart

Cause: replicas that start together campaign together within the short delay, split the votes, and then wait for the full election timeout of 0.6 to 1.2 s, because only the pre-vote used the short delay. Change: the vote has a short delay as well while short delays apply, they apply for three election timeouts, and a replica that grants a pre-vote defers its own campaign once in a term; of two candidates the one with the smaller identifier defers.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Election.kt
@@ -22,6 +22,9 @@
     /** End of the period in which [ReplicaOptions.shortElectionDelay] applies. */
     private var shortDelayUntil: Moment = context.now
 
+    /** Term in which this replica last deferred its campaign to another candidate, or null. */
+    private var deferredInTerm: Long? = null
+
     init {
         useShortDelay()
     }
@@ -34,12 +37,12 @@
     }
 
     /**
-     * Shortens the campaign delay to [ReplicaOptions.shortElectionDelay] for one election timeout, because the group
+     * Shortens the campaign delay to [ReplicaOptions.shortElectionDelay] for some election timeouts, because the group
      * probably has no leader. If there is one after all, the replicas in contact with it reject the pre-vote.
      */
     fun useShortDelay() {
-        shortDelayUntil = context.now + context.options.electionTimeout
-        setShortDeadline()
+        shortDelayUntil = context.now + context.options.electionTimeout * SHORT_DELAY_TIMEOUTS
+        setDeadline(context.options.shortElectionDelay)
     }
 
     /** Restarts the election timeout at its normal length after contact with the leader. */
@@ -54,9 +57,15 @@
         shortDelayUntil += delay
     }
 
-    private fun setShortDeadline() {
-        val minimum = context.options.shortElectionDelay.inWholeNanoseconds
-        deadline = context.now + context.random.nextLong(minimum, 3 * minimum).nanoseconds
+    /** Sets the deadline to a random time from [minimum] to three times [minimum] from now. */
+    private fun setDeadline(minimum: Duration) {
+        val nanoseconds = minimum.inWholeNanoseconds
+        deadline = context.now + context.random.nextLong(nanoseconds, 3 * nanoseconds).nanoseconds
+    }
+
+    /** Sets the deadline of a campaign phase, which is [shortDelay] at least in the period of short delays. */
+    private fun setCampaignDeadline(shortDelay: Duration) {
+        if (context.now < shortDelayUntil) setDeadline(shortDelay) else resetDeadline()
     }
 
     fun cancel() {
@@ -68,7 +77,7 @@
         phase = Phase.PRE_VOTE
         granted.clear()
         granted += context.address.identifier
-        if (context.now < shortDelayUntil) setShortDeadline() else resetDeadline()
+        setCampaignDeadline(context.options.shortElectionDelay)
         val request = PreVoteRequest(context.term + 1, context.log.lastIndex, context.log.lastTerm)
         otherVoters().forEach { context.sendAfterSync(it, request) }
         if (hasMajority()) campaign()
@@ -80,6 +89,21 @@
                 request.nextTerm > context.term &&
                 context.log.isUpToDate(request.lastIndex, request.lastTerm)
         context.sendAfterSync(from, PreVoteResponse(request.nextTerm, grant))
+        if (grant) deferTo(from)
+    }
+
+    /**
+     * Defers the own campaign to [candidate], because candidates that start together split the votes. Of two replicas
+     * in the pre-vote phase, the one with the smaller identifier defers. A replica defers once in a term, in case the
+     * candidate can't reach a majority.
+     */
+    private fun deferTo(candidate: ReplicaAddress) {
+        val hasPriority = phase == Phase.PRE_VOTE && context.address.identifier.value > candidate.identifier.value
+        if (phase == Phase.VOTE || hasPriority) return
+        if (context.now >= shortDelayUntil || deferredInTerm == context.term) return
+        deferredInTerm = context.term
+        phase = Phase.IDLE
+        setDeadline(context.options.shortElectionDelay * VOTE_DELAY_FACTOR)
     }
 
     fun onPreVoteResponse(from: ReplicaIdentifier, response: PreVoteResponse) {
@@ -111,7 +135,7 @@
         phase = Phase.VOTE
         granted.clear()
         context.setHardState(context.term + 1, context.address.identifier)
-        resetDeadline()
+        setCampaignDeadline(context.options.shortElectionDelay * VOTE_DELAY_FACTOR)
         val request = VoteRequest(context.log.lastIndex, context.log.lastTerm, leaderAgrees)
         otherVoters().forEach { context.sendAfterSync(it, request) }
         val term = context.term
@@ -134,4 +158,12 @@
         .map { it.address }
 
     private fun hasMajority(): Boolean = context.log.configuration.hasMajority(granted)
+
+    private companion object {
+        /** Election timeouts for which short delays apply. The replicas of a group may need this long to start. */
+        const val SHORT_DELAY_TIMEOUTS = 3
+
+        /** Factor of the short delay that leaves time for a vote, which takes a sync of two replicas. */
+        const val VOTE_DELAY_FACTOR = 2
+    }
 }
