Accept a restarted upstream whatever its incarnation number is

Cause: HeartbeatAvailabilityTracker took only a larger incarnation as a new start, but incarnations are random; the gateway roles used the time of day, which may be set back between two starts. Change: another incarnation is a new start unless it is one that was replaced before; all roles draw incarnations at random. SidecarLinks already ignores messages of a link that was replaced. Test: LivenessTest, two cases that failed before.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -37,6 +37,7 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
 import java.net.InetSocketAddress
+import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
@@ -55,7 +56,7 @@
     private val hello = LinkMessage.Hello(
         protocolVersion = LinkLimits.PROTOCOL_VERSION,
         instance = ReplicaGroup.instanceOf(settings),
-        incarnation = Incarnation(System.currentTimeMillis()),
+        incarnation = Incarnation(Random.nextLong(Long.MAX_VALUE)),
         failureDomain = FailureDomain(settings.failureDomain, Region(settings.region)),
         roles = setOf(Role.CONTROL),
     )
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -36,6 +36,7 @@
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
 import java.net.InetSocketAddress
+import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
 /** Runs the role `entry`, which serves client requests. */
@@ -117,7 +118,7 @@
     private fun hello() = LinkMessage.Hello(
         protocolVersion = LinkLimits.PROTOCOL_VERSION,
         instance = InstanceName(settings.machine),
-        incarnation = Incarnation(System.currentTimeMillis()),
+        incarnation = Incarnation(Random.nextLong(Long.MAX_VALUE)),
         failureDomain = FailureDomain(settings.failureDomain, Region(settings.region)),
         roles = setOf(Role.ENTRY),
     )
--- a/model/src/main/kotlin/org/zinniahoist/model/Identifiers.kt
+++ b/model/src/main/kotlin/org/zinniahoist/model/Identifiers.kt
@@ -67,7 +67,11 @@
     override fun toString(): String = value
 }
 
-/** Number that distinguishes the starts of a process. A restarted process has a new incarnation. */
+/**
+ * Random number that distinguishes the starts of a process. A restarted process has a new incarnation.
+ *
+ * Incarnations have no order, because a process without a disk can't know its earlier ones.
+ */
 @JvmInline
 @Serializable
 public value class Incarnation(public val value: Long)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/liveness/HeartbeatAvailabilityTracker.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/liveness/HeartbeatAvailabilityTracker.kt
@@ -22,11 +22,14 @@
 
     override fun onLinkOpen(instance: InstanceName, incarnation: Incarnation, now: Moment) {
         val known = linkedInstances[instance]
-        if (known == null || incarnation.value > known.incarnation.value) {
-            linkedInstances[instance] = LinkedInstance(incarnation, openedAt = now, lastHeartbeat = now)
-        } else if (incarnation == known.incarnation) {
+        if (incarnation == known?.incarnation) {
             known.lastHeartbeat = now
+            return
         }
+        val replaced = known?.let { it.replaced + it.incarnation }.orEmpty()
+        if (incarnation in replaced) return
+        linkedInstances[instance] =
+            LinkedInstance(incarnation, openedAt = now, lastHeartbeat = now, replaced.takeLast(RETAINED_INCARNATIONS))
     }
 
     /** Keeps the state of the incarnation, because a draining incarnation is still draining after it reconnects. */
@@ -55,11 +58,18 @@
         return !known.draining && !isLeaving && now - lastHeartbeat < silence
     }
 
+    /** @property replaced latest earlier incarnations. Numbers of incarnations have no order. */
     private class LinkedInstance(
         val incarnation: Incarnation,
         val openedAt: Moment,
         var lastHeartbeat: Moment?,
+        val replaced: List<Incarnation>,
     ) {
         var draining = false
     }
+
+    private companion object {
+        /** Number of replaced incarnations that are remembered; only the links of the latest ones can be delayed. */
+        const val RETAINED_INCARNATIONS = 8
+    }
 }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/liveness/LivenessTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/liveness/LivenessTest.kt
@@ -141,5 +141,28 @@
             expectThat(heartbeat(start + 10.seconds)).isTrue()
             expectThat(heartbeat(start + 71.seconds)).isFalse()
         }
+
+        /** Guards against refusing a restarted upstream for good because its random incarnation is the smaller one. */
+        @Test
+        fun `a new incarnation accepts work although its number is smaller`() {
+            tracker.onLinkOpen(instance, Incarnation(3488921467849892918), start)
+            heartbeat(start, draining = true)
+            tracker.onLinkClosed(instance, start)
+            tracker.onLinkOpen(instance, Incarnation(692035439959051689), start + 1.seconds)
+
+            expectThat(heartbeat(start + 1.seconds)).isTrue()
+        }
+
+        /** Guards against a draining process whose delayed link takes the place of its successor. */
+        @Test
+        fun `an incarnation that was replaced does not return`() {
+            tracker.onLinkOpen(instance, Incarnation(2), start)
+            heartbeat(start, draining = true)
+            tracker.onLinkOpen(instance, Incarnation(1), start + 1.seconds)
+            heartbeat(start + 1.seconds)
+            tracker.onLinkOpen(instance, Incarnation(2), start + 2.seconds)
+
+            expectThat(tracker.acceptsWork(instance, start + 2.seconds)).isTrue()
+        }
     }
 }
