Activate no announced configuration before the newest one is known

Seen: entries that start together with the stores put revisions 2, 7, 21, 60, 69 in force within 130 ms and answered a request under revision 2, as each replica announces all revisions of the log that it replays. Cause: CoreClient fetched announced configurations before it was synchronized. Change: until the leader has confirmed the newest configuration, announcements are only remembered. Test: EntryConfigurationTest; before the change the entry activated 21 and 30 before 31.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -129,6 +129,7 @@
             }
         }
         logger.info { "event=informed revision=$revision" }
+        fetchAnnounced()
     }
 
     override fun onOpen(link: LinkConnection): Unit = Unit
@@ -157,7 +158,9 @@
     }
 
     /**
-     * Fetches an announced configuration unless a fetch is in progress. Several replicas announce the same revision,
+     * Fetches an announced configuration unless a fetch is in progress. Before the client is synchronized it fetches
+     * none, because a replica that replays its log announces configurations that were replaced long ago.
+     * Several replicas announce the same revision,
      * and a replica that starts announces many. Therefore only one replica is asked at a time, and another one if it
      * does not reply within [FETCH_RETRY_AFTER]. Revisions announced meanwhile are fetched afterwards.
      */
@@ -165,6 +168,7 @@
     private fun fetchIfNewer(link: LinkConnection, announced: Revision) {
         if (announced <= revision) return
         if (announced >= (newest?.revision ?: Revision.NONE)) newest = Announcement(link, announced)
+        if (!isSynchronized) return
         val now = clock()
         if (fetchStarted?.let { now - it < FETCH_RETRY_AFTER } == true) return
         fetchStarted = now
@@ -181,6 +185,11 @@
     private fun onFetched(isSuccess: Boolean) {
         if (!isSuccess) return
         fetchStarted = null
+        fetchAnnounced()
+    }
+
+    @Synchronized
+    private fun fetchAnnounced() {
         newest?.let { fetchIfNewer(it.link, it.revision) }
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryConfigurationTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryConfigurationTest.kt
@@ -27,7 +27,31 @@
         }
     }
 
+    /**
+     * Guards against an entry that starts together with the cores, and serves requests under old configurations while
+     * they replay their logs.
+     */
+    @Test
+    fun `a starting entry activates no configuration that is older than the newest one`() {
+        EntryFixture(grace = 2.seconds, latency = 1.milliseconds).use { fixture ->
+            fixture.loseLeader()
+            fixture.entry.start()
+            for (revision in REPLAYED) {
+                fixture.announce(revision)
+                Thread.sleep(REPLAY_INTERVAL.inWholeMilliseconds)
+            }
+            fixture.electLeader(NEWEST)
+            val end = System.nanoTime() + TIMEOUT.inWholeNanoseconds
+            while (fixture.activeRevisions.isEmpty() && System.nanoTime() < end) Thread.sleep(5)
+            expectThat(fixture.activeRevisions.toList()).isEqualTo(listOf(Revision(NEWEST)))
+            fixture.entry.stop()
+        }
+    }
+
     private companion object {
+        val REPLAYED = listOf(2L, 7L, 21L, 30L)
+        val REPLAY_INTERVAL = 150.milliseconds
+
         const val NEWEST = 31L
         const val MAXIMUM_FETCHES = 4
         val TIMEOUT = 5.seconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -105,6 +105,17 @@
         replica.links.forEach { it.offer(ServiceMessage.Configured(Revision(revision))) }
     }
 
+    /** Makes the core replay its log without a leader, so that it can't tell which configuration is the newest. */
+    fun loseLeader() {
+        replica.hasLeader = false
+    }
+
+    /** Ends [loseLeader], with [revision] as the newest acknowledged configuration. */
+    fun electLeader(revision: Long) {
+        replica.newest = Revision(revision)
+        replica.hasLeader = true
+    }
+
     override fun close() {
         runBlocking { core.stop("the test has ended") }
         upstream.stop().join()
@@ -188,6 +199,9 @@
         @Volatile
         var newest = REVISION
 
+        @Volatile
+        var hasLeader = true
+
         override fun onOpen(link: LinkConnection) {
             links += link
         }
@@ -200,9 +214,11 @@
                 revision,
                 DocumentCompression.compress("$revision".encodeToByteArray()),
             )
+            val isUnanswerable = message.call is ServiceCall.NewestConfiguration && !hasLeader
+            val reply = if (isUnanswerable) ServiceReply.Unavailable("no leader") else document
             scope.launch {
                 delay(REPLY_DELAY)
-                link.send(ServiceMessage.Reply(message.identifier, document))
+                link.send(ServiceMessage.Reply(message.identifier, reply))
             }
         }
 
