Score the texts of items by reward calls

Change: an item may carry a reward request. Once its text is complete, the text is recorded in the log, and then a reward call is made through the route of its host and path; its stamp is recorded with the result. RewardScheduler (policy.reward, no clock and no network) decides order, limits, time-outs and repeats; RewardCalls sends; ItemRewards joins both with the recorded text, so that a new leader repeats only the call.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -42,6 +42,7 @@
     private val clock: () -> Moment,
     wallMilliseconds: () -> Long,
     private val metrics: GatewayMetrics,
+    rewardConnections: RewardConnections,
     random: Random = Random.Default,
     private val runs: RunConnections = ItemRuns(dialect.headers, calls, machine),
 ) {
@@ -51,6 +52,8 @@
     private val readMonitor = ResponseReadMonitor(dispatcher, runs) { post(TaskKind.READING, it) }
     private val recorder = ResultRecorder(log, metrics)
     private val textRecorder = TextRecorder(machine, textLog, metrics)
+    private val rewards =
+        ItemRewards(machine, textLog, registry, rewardConnections, post, clock, metrics, random, ::onRewardResult)
     private val ages = JobAgeTracker()
     private val planner = JobPlanner(machine, ages, wallMilliseconds, random)
     private val demands = JobDemandTracker(wallMilliseconds)
@@ -68,7 +71,9 @@
         set(value) {
             field = value
             // An unreadable configuration (null) does not remove routes that are in use.
-            if (isActive && value != null) withdrawDisallowed()
+            if (value == null) return
+            rewards.routes = value
+            if (isActive) withdrawDisallowed()
         }
 
     fun updateUpstreams(entries: List<ListedUpstream>) = registry.relist(entries)
@@ -80,7 +85,7 @@
     val unlistedResults: Int get() = recorder.size
 
     /** Total text length of unfinished items, in characters. */
-    val textCharacters: Long get() = dispatcher.textCharacters
+    val textCharacters: Long get() = dispatcher.textCharacters + rewards.textCharacters
 
     /** Starts running the open items. Runs of an earlier term are aborted first. */
     fun activate() {
@@ -97,6 +102,7 @@
         unrouted.clear()
         recorder.clear()
         textRecorder.clear()
+        rewards.clear()
         execute(dispatcher.clear())
         waits.clear()
     }
@@ -137,6 +143,7 @@
         recorder.tick(now)
         execute(dispatcher.tick(now, readMonitor.tick(now)))
         textRecorder.tick(now, dispatcher::texts)
+        rewards.tick()
         waits.observe(dispatcher.longestWait(now), dispatcher.waitingItems, now) { dispatcher.oldestWaiting(now) }
     }
 
@@ -163,7 +170,7 @@
         val job = record.job
         val open = record.openItems().filter {
             val key = ItemKey(job.identifier.value, it.identifier)
-            key !in dispatcher && key !in recorder
+            key !in dispatcher && key !in recorder && key !in rewards
         }
         if (open.isEmpty() && job.identifier in dispatchedServices) return
         val route = routeOf(record) ?: return
@@ -173,11 +180,13 @@
         logger.info {
             "event=${if (isFirst) "job-begun" else "items-begun-again"} job=${job.identifier} " +
                 "model=${job.step?.model} step=${job.step?.step} items=${job.items.size} open=${open.size} " +
-                "reused=${plan.reused.size} resumed=${plan.resumed} " +
+                "reused=${plan.reused.size} resumed=${plan.resumed} unscored=${plan.texts.size} " +
                 "minimum-version=${job.step?.minimumVersion}"
         }
         if (!isFirst) metrics.onEvent("job", "begun_again")
         plan.reused.forEach { recorder.record(job.identifier, it, now) }
+        rewards.expect(plan.rewards)
+        plan.texts.forEach { rewards.onTextComplete(it.key, it.text, it.isRecorded) }
         dispatcher.submit(plan.work)
     }
 
@@ -204,11 +213,12 @@
         if (withdrawn.isNotEmpty()) nextReconciliation = null
     }
 
-    /** Aborts the runs of [job] and retains the partial text of its unfinished items. */
+    /** Aborts the runs and reward calls of [job] and retains the texts of its unfinished items. */
     private fun withdraw(job: JobIdentifier): CancelledJob {
         dispatchedServices.remove(job)
         val cancelled = dispatcher.cancelJob(job.value)
         planner.retainTexts(cancelled.texts)
+        planner.retainResults(rewards.cancelJob(job.value))
         execute(cancelled.aborts)
         return cancelled
     }
@@ -241,17 +251,30 @@
     private fun finish(action: DispatchAction.Finish) {
         planner.discardText(action.key.item)
         val text = action.text
-        val output = if (action.isCompleted) text.events.joinToString("\n") else ""
+        val output = if (action.isCompleted) text.output else ""
         val versions = if (action.isCompleted) text.versions else emptyList()
         logger.info {
             "event=item-finished item=${action.key.item} job=${action.key.job} outcome=\"${action.reason}\" " +
                 "events=${text.events.size} versions=${versions.joinToString(",")}"
         }
         metrics.onEvent("item", if (action.isCompleted) "completed" else "given_up")
-        val result = ItemResult(action.key.item, action.isCompleted, output, versions)
-        recorder.record(JobIdentifier(action.key.job), result, clock())
+        if (action.isCompleted && needsReward(action.key)) {
+            rewards.onTextComplete(action.key, text, isRecorded = false)
+            return
+        }
+        rewards.discard(action.key)
+        record(action.key, ItemResult(action.key.item, action.isCompleted, output, versions))
     }
 
+    private fun needsReward(key: ItemKey): Boolean = machine.job(JobIdentifier(key.job))?.item(key.item)?.reward != null
+
+    private fun onRewardResult(key: ItemKey, result: ItemResult) {
+        metrics.onEvent("reward", if (result.isCompleted) "scored" else "given_up")
+        record(key, result)
+    }
+
+    private fun record(key: ItemKey, result: ItemResult) = recorder.record(JobIdentifier(key.job), result, clock())
+
     private fun onEnd(run: Long, end: RunEnd) {
         runs.forget(run)
         metrics.onEvent("run", end.javaClass.simpleName)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/EngineLoad.kt
@@ -17,6 +17,7 @@
     RUN_EVENTS,
     RUN_END,
     RUN_TAKEN,
+    REWARD_END,
     OTHER,
     ;
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -7,6 +7,7 @@
 import org.zinniahoist.policy.dispatch.ItemText
 import org.zinniahoist.policy.dispatch.ItemWork
 import org.zinniahoist.policy.dispatch.WeightConstraints
+import org.zinniahoist.policy.reward.RewardWork
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.drawService
 import org.zinniahoist.state.service.BatchItem
@@ -24,11 +25,22 @@
     val work: List<ItemWork>,
     /** Results that an earlier job produced for the same items. */
     val reused: List<ItemResult>,
+    /** Items that need a score, including those of [texts]. */
+    val rewards: List<RewardWork> = emptyList(),
+    /** Complete texts that lack only their score. */
+    val texts: List<CompleteItemText> = emptyList(),
 ) {
     /** Number of items that resume from partial text. */
     val resumed: Int get() = work.count { it.text.events.isNotEmpty() }
 }
 
+/** Complete text of an item that needs a score; [isRecorded] if the job's replicated state holds it. */
+internal class CompleteItemText(
+    val key: ItemKey,
+    val text: ItemText,
+    val isRecorded: Boolean,
+)
+
 /** Decides whether to run, resume or skip each open item of a job. All functions run on the engine thread. */
 internal class JobPlanner(
     private val machine: ServiceStateMachine,
@@ -48,8 +60,33 @@
     ): JobPlan {
         val terms = termsOf(record.job, route)
         val earlier = earlierResults(record.job, items).filterValues { ItemText(versions = it.versions).fits(terms) }
-        val work = items.filter { it.identifier !in earlier }.map { work(record, route, it, now) }
-        return JobPlan(work, items.mapNotNull { earlier[it.identifier]?.read?.invoke() })
+        val (rewarded, plain) = items.partition { it.reward != null }
+        val texts = rewarded.mapNotNull { completeText(record, it, terms, earlier[it.identifier]) }
+        val complete = texts.mapTo(HashSet()) { it.key.item }
+        val reused = plain.mapNotNull { earlier[it.identifier]?.read?.invoke() }
+        val finished = complete + reused.map { it.item }
+        return JobPlan(
+            work = items.filter { it.identifier !in finished }.map { work(record, route, it, now) },
+            reused = reused,
+            rewards = rewarded.map { rewardWork(record, route, it, now) },
+            texts = texts,
+        )
+    }
+
+    /** Returns the complete text of [item], which is recorded in its job or stems from an [earlier] one, or null. */
+    private fun completeText(
+        record: JobRecord,
+        item: BatchItem,
+        terms: WeightConstraints?,
+        earlier: EarlierResult?,
+    ): CompleteItemText? {
+        val key = ItemKey(record.job.identifier.value, item.identifier)
+        val recorded = record.text(item.identifier)?.takeIf { it.isComplete }?.toItemText()?.takeIf { it.fits(terms) }
+        if (recorded != null) return CompleteItemText(key, recorded, isRecorded = true)
+        val result = earlier?.read?.invoke() ?: return null
+        // The events of a result can't be told apart any more, but a complete text is never resumed.
+        val text = ItemText(listOf(result.output), lastNumber = 0, result.versions, identifier = random.nextLong())
+        return CompleteItemText(key, text, isRecorded = false)
     }
 
     /** Retains the partial [texts] of unfinished items for a later job that contains the same items. */
@@ -93,17 +130,14 @@
         item: BatchItem,
         now: Moment,
     ): ItemWork {
-        val batch = checkNotNull(route.batch) { "route ${route.name} of a batch job has no batch terms" }
-        val age = ages.minimumAge(record.job.identifier, now)
-        val wallAge = (wallMilliseconds() - record.submittedMilliseconds).milliseconds
+        val deadlines = deadlines(record, route, now)
         val terms = termsOf(record.job, route)
         val text = earlierText(record, item.identifier, terms)
         return ItemWork(
             key = ItemKey(record.job.identifier.value, item.identifier),
             service = route.drawService(random),
-            // The due time affects only the order of jobs, so a wall-clock jump does little harm.
-            dueAt = now + batch.due - maxOf(age, wallAge),
-            expiresAt = now + batch.keep - age,
+            dueAt = deadlines.dueAt,
+            expiresAt = deadlines.expiresAt,
             maximumFailures = route.maximumAttempts,
             group = item.group,
             isCarriedOver = item.identifier in retainedTexts,
@@ -113,9 +147,39 @@
         )
     }
 
+    private fun rewardWork(
+        record: JobRecord,
+        route: Route,
+        item: BatchItem,
+        now: Moment,
+    ): RewardWork {
+        val request = checkNotNull(item.reward) { "item ${item.identifier} needs no score" }
+        val deadlines = deadlines(record, route, now)
+        return RewardWork(
+            key = ItemKey(record.job.identifier.value, item.identifier),
+            host = request.host,
+            path = request.path,
+            group = item.group,
+            dueAt = deadlines.dueAt,
+            expiresAt = deadlines.expiresAt,
+            maximumFailures = route.maximumAttempts,
+        )
+    }
+
+    private fun deadlines(record: JobRecord, route: Route, now: Moment): Deadlines {
+        val batch = checkNotNull(route.batch) { "route ${route.name} of a batch job has no batch terms" }
+        val age = ages.minimumAge(record.job.identifier, now)
+        val wallAge = (wallMilliseconds() - record.submittedMilliseconds).milliseconds
+        return Deadlines(
+            // The due time affects only the order of jobs, so a wall-clock jump does little harm.
+            dueAt = now + batch.due - maxOf(age, wallAge),
+            expiresAt = now + batch.keep - age,
+        )
+    }
+
     /** Returns the longer of the retained and the recorded text of [item], considering only texts that fit [terms]. */
     private fun earlierText(record: JobRecord, item: RequestIdentifier, terms: WeightConstraints?): ItemText? {
-        val recorded = record.text(item)?.takeIf { ItemText(versions = it.versions).fits(terms) }
+        val recorded = record.text(item)?.takeIf { !it.isComplete && ItemText(versions = it.versions).fits(terms) }
         val kept = retainedTexts[item]?.takeIf { it.fits(terms) }
         val isRecordedLonger = (recorded?.lastNumber ?: -1) > (kept?.lastNumber ?: -1)
         return if (recorded != null && isRecordedLonger) recorded.toItemText() else kept
@@ -123,6 +187,11 @@
 
     private fun RecordedText.toItemText() = ItemText(events(), lastNumber, versions, identifier)
 
+    private class Deadlines(
+        val dueAt: Moment,
+        val expiresAt: Moment,
+    )
+
     /** Result of an earlier job. [read] unpacks the output and is called only if [versions] fit the new job's terms. */
     private class EarlierResult(
         val versions: List<WeightVersion>,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -52,6 +52,7 @@
         clock,
         System::currentTimeMillis,
         metrics,
+        RewardCalls(dialect.headers, calls, machine, scope),
     )
     private val loader = WeightLoader(engine.registry)
     private val models = ModelLog(metrics)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
@@ -30,6 +30,14 @@
         .labelNames("event", "outcome")
         .register(registry)
 
+    private val rewards = Histogram.builder()
+        .name("zinniahoist_reward_call_seconds")
+        .help("Time from the start of a reward call to its end, in seconds, by outcome.")
+        .labelNames("outcome")
+        .classicOnly()
+        .classicUpperBounds(0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0)
+        .register(registry)
+
     private val writer = PrometheusTextFormatWriter.create()
 
     /** Records a client request that ended with [outcome] after [latency]. */
@@ -42,6 +50,11 @@
         events.labelValues(event, outcome).inc()
     }
 
+    /** Records a reward call that ended with [outcome] after [latency]. */
+    fun onReward(outcome: String, latency: Duration) {
+        rewards.labelValues(outcome).observe(latency.toDouble(DurationUnit.SECONDS))
+    }
+
     /** Registers the gauge [name], whose value is read with [read] at each scrape. */
     fun gauge(name: String, help: String, read: () -> Number) {
         GaugeWithCallback.builder()
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -6,6 +6,10 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -32,6 +36,7 @@
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.RewardRequest
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
@@ -53,6 +58,7 @@
     ServiceListener {
     private val thread = EngineThread(onFailure = {})
     private val calls = UpstreamCalls(UpstreamFixture.Names)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val server = Server.builder()
         .http(0)
         .requestTimeoutMillis(0)
@@ -86,6 +92,13 @@
     @Volatile
     var responsesEnd: Boolean = true
 
+    /** Identifiers of the reward calls that reached the upstream, one entry per call. */
+    val rewardCalls = CopyOnWriteArrayList<String>()
+
+    /** Answers reward calls. */
+    @Volatile
+    var scorer: (RewardCallSeen) -> HttpResponse = { scored(it, "score of ${it.identifier}") }
+
     /** Offset of the engine's monotonic clock. */
     @Volatile
     var advance: Duration = Duration.ZERO
@@ -112,17 +125,20 @@
         { Moment(System.nanoTime()) + advance },
         { System.currentTimeMillis() + wallJump.inWholeMilliseconds },
         GatewayMetrics(),
+        RewardCalls(UpstreamFixture.Names, calls, machine, scope),
     )
 
     init {
         server.start().join()
         val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
         val upstream = ListedUpstream(UpstreamIdentity("u"), SERVICE, endpoint, "a", 4, isLeaving = false, emptyMap())
-        thread.post { engine.updateUpstreams(listOf(upstream)) }
+        val scorer = ListedUpstream(UpstreamIdentity("s"), SCORERS, endpoint, "a", SCORER_SLOTS, isLeaving = false)
+        thread.post { engine.updateUpstreams(listOf(upstream, scorer)) }
     }
 
     private fun answer(request: RequestHeaders): HttpResponse {
         val item = checkNotNull(request.get(UpstreamFixture.Names.requestIdentifier))
+        if (request.path().startsWith(SCORE_PREFIX)) return score(request, item)
         val before = request.get(UpstreamFixture.Names.lastEvent)?.toLong() ?: 0
         requestedItems += item
         resumedAfter += before
@@ -136,6 +152,11 @@
         return endless
     }
 
+    private fun score(request: RequestHeaders, identifier: String): HttpResponse {
+        rewardCalls += identifier
+        return scorer(RewardCallSeen(identifier, request.path(), rewardCalls.count { it == identifier }))
+    }
+
     fun activate() = onThread { engine.activate() }
 
     fun deactivate() = onThread { engine.deactivate() }
@@ -223,12 +244,61 @@
 
     override fun close() {
         thread.close()
+        scope.cancel()
         calls.close()
         server.stop().join()
     }
 
+    /** A reward call at the upstream; [number] counts the calls with the same identifier from 1. */
+    class RewardCallSeen(
+        val identifier: String,
+        val path: String,
+        val number: Int,
+    )
+
     companion object {
         val SERVICE = ServiceName("drafts")
+        val SCORERS = ServiceName("scorers")
+        const val SCORE_PREFIX = "/score/"
+        const val SCORER_SLOTS = 8
+
+        /** Returns a success whose stamp is [stamp]. */
+        fun scored(call: RewardCallSeen, stamp: String): HttpResponse = HttpResponse.of(
+            ResponseHeaders.builder(HttpStatus.OK)
+                .set(UpstreamFixture.Names.requestIdentifier, call.identifier)
+                .set(UpstreamFixture.Names.answerStamp, stamp)
+                .build(),
+            HttpData.ofUtf8("scored"),
+        )
+
+        /** Returns a response without a stamp. */
+        fun failed(call: RewardCallSeen, status: HttpStatus): HttpResponse = HttpResponse.of(
+            ResponseHeaders.builder(status).set(UpstreamFixture.Names.requestIdentifier, call.identifier).build(),
+        )
+
+        /** Returns an item that needs a score. */
+        fun rewardedItem(name: String, group: String? = null) = BatchItem(
+            identifier = RequestIdentifier(name),
+            path = "/s/$name",
+            headers = emptyList(),
+            body = byteArrayOf(1),
+            tokens = 10,
+            group = group,
+            reward = RewardRequest(RequestIdentifier("r-$name"), "h", "$SCORE_PREFIX$name?a=b", byteArrayOf(2)),
+        )
+
+        /** Returns the route of reward calls. */
+        fun scoreRoute() = Route(
+            name = "score",
+            host = "h",
+            pathPrefix = SCORE_PREFIX,
+            kind = RouteKind.REPEATABLE,
+            timeout = 2.seconds,
+            target = 500.milliseconds,
+            priority = 0,
+            shares = listOf(ServiceShare(SCORERS, 1)),
+            maximumAttempts = 4,
+        )
 
         /** Traffic shares with a single service that has no upstreams. */
         val NO_UPSTREAMS = listOf(ServiceShare(ServiceName("none"), 1))
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
@@ -58,6 +58,7 @@
         { time.now },
         { time.now.nanoseconds / 1_000_000 },
         GatewayMetrics(),
+        UnusedRewardConnections,
         Random(SEED),
         runs,
     )
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -51,6 +51,12 @@
     /** Random identifier that distinguishes this text from other texts of the item, or null while the text is empty. */
     public val identifier: Long? = null,
 ) {
+    /** Data of all events as the output of the item. */
+    public val output: String get() = events.joinToString("\n")
+
+    /** Length of all events in characters. */
+    public val characters: Long get() = events.sumOf { it.length.toLong() }
+
     /** Returns this text with an event appended. */
     public fun plus(number: Long, data: String, version: WeightVersion?): ItemText = copy(
         // A persistent list shares its structure, so the cost of appending does not grow with the length of the text.
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -27,7 +27,7 @@
     public val runningItems: Int get() = table.runningItems.size
 
     /** Total number of characters in the texts of all unfinished items. */
-    public val textCharacters: Long get() = table.all.sumOf { state -> state.text.events.sumOf { it.length.toLong() } }
+    public val textCharacters: Long get() = table.all.sumOf { it.text.characters }
 
     /** Returns true while the item with [key] waits or runs. */
     public operator fun contains(key: ItemKey): Boolean = table.item(key) != null
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -58,6 +58,8 @@
     public val expectedTokens: Int? = null,
     /** Group of the item, or null; items of one group share their prompt. */
     public val group: String? = null,
+    /** Request that scores the text of the item once it is complete, or null if the item needs no score. */
+    public val reward: RewardRequest? = null,
 ) {
     /** Estimated number of tokens of the item. */
     public val estimatedTokens: Int get() = expectedTokens ?: tokens
@@ -76,6 +78,7 @@
  * @property packedOutput data of all events in order. It is compressed once, when the result is created, because it is
  * sent across failure domains and held in several places.
  * @property versions weight versions that generated an event, in order of their first use.
+ * @property score response to the item's [BatchItem.reward], or null if the item has none or is not completed.
  */
 @Serializable
 public class ItemResult private constructor(
@@ -83,13 +86,15 @@
     public val isCompleted: Boolean,
     @ByteString private val packedOutput: ByteArray,
     public val versions: List<WeightVersion>,
+    public val score: String? = null,
 ) {
     public constructor(
         item: RequestIdentifier,
         isCompleted: Boolean,
         output: String,
         versions: List<WeightVersion> = emptyList(),
-    ) : this(item, isCompleted, TextCompression.compress(output), versions)
+        score: String? = null,
+    ) : this(item, isCompleted, TextCompression.compress(output), versions, score)
 
     /** Data of all events in order. */
     public val output: String by lazy(LazyThreadSafetyMode.PUBLICATION) { TextCompression.decompress(packedOutput) }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/RecordedText.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/RecordedText.kt
@@ -18,6 +18,7 @@
  * @property lastNumber number of the last event of this part.
  * @property packedEvents compressed data of the events.
  * @property versions weight versions that generated the text up to this part, in order of their first use.
+ * @property isLast true if this part completes the text, which then waits for its score only.
  */
 @Serializable
 public class TextPart private constructor(
@@ -27,6 +28,7 @@
     public val lastNumber: Long,
     @ByteString private val packedEvents: ByteArray,
     public val versions: List<WeightVersion>,
+    public val isLast: Boolean = false,
 ) {
     public constructor(
         item: RequestIdentifier,
@@ -35,7 +37,8 @@
         lastNumber: Long,
         events: List<String>,
         versions: List<WeightVersion>,
-    ) : this(item, text, after, lastNumber, TextCompression.compressBytes(StateCodec.encode(events)), versions)
+        isLast: Boolean = false,
+    ) : this(item, text, after, lastNumber, TextCompression.compressBytes(StateCodec.encode(events)), versions, isLast)
 
     internal val bytes: Int get() = packedEvents.size
 
@@ -43,7 +46,7 @@
     public fun events(): List<String> = StateCodec.decode(TextCompression.decompressBytes(packedEvents))
 }
 
-/** The recorded prefix of the output text of an unfinished item. */
+/** The recorded prefix of the output text of an unfinished item, or its whole text while the score is missing. */
 public class RecordedText internal constructor(internal val parts: List<TextPart>) {
     /** Identifier of the text; see [TextPart.text]. */
     public val identifier: Long get() = parts.last().text
@@ -54,6 +57,9 @@
     /** Weight versions that generated an event, in order of their first use. */
     public val versions: List<WeightVersion> get() = parts.last().versions
 
+    /** True if the text is complete and only its score is missing. */
+    public val isComplete: Boolean get() = parts.last().isLast
+
     /** Compressed size of the text in bytes. */
     public val bytes: Long get() = parts.sumOf { it.bytes.toLong() }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -50,8 +50,8 @@
     /** Size of the retained results in bytes, in encoded form. */
     public val resultBytes: Long get() = commands().sumOf { it.size.toLong() }
 
-    /** Total size of the request bodies in bytes. */
-    public val bodyBytes: Long by lazy { job.items.sumOf { it.body.size.toLong() } }
+    /** Total size of the request bodies of the items and their rewards, in bytes. */
+    public val bodyBytes: Long by lazy { job.items.sumOf { it.body.size.toLong() + (it.reward?.body?.size ?: 0) } }
 
     /** Compressed size of the recorded texts of items without a result, in bytes. */
     public val textBytes: Long get() = textsByItem.values.sumOf { it.bytes }
--- a/state/src/test/kotlin/org/zinniahoist/state/service/RecordedTextTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/RecordedTextTest.kt
@@ -81,6 +81,28 @@
         expectThat(recorded()).isNull()
     }
 
+    /** Guards against a complete text that a new leader generates again because its completion was not restored. */
+    @Test
+    fun `restores from a snapshot that a text is complete`() {
+        record(text = 1, after = null, "one")
+        expectThat(recorded()?.isComplete).isEqualTo(false)
+        val last =
+            TextPart(item, text = 1, after = 1, lastNumber = 1, emptyList(), listOf(WeightVersion(1)), isLast = true)
+        apply(ServiceCommand.RecordTexts(job, listOf(last)))
+        val restored = ServiceStateMachine(NoOpListener).apply { restore(machine.snapshot()) }
+        expectThat(restored.job(job)?.text(item)?.isComplete).isEqualTo(true)
+        expectThat(restored.job(job)?.text(item)?.events()).isEqualTo(listOf("one"))
+    }
+
+    /** Guards against a score that is lost with the leader that recorded it. */
+    @Test
+    fun `restores the score of a result from a snapshot`() {
+        val result = ItemResult(item, isCompleted = true, "one", listOf(WeightVersion(1)), score = "stamp")
+        apply(ServiceCommand.RecordResults(job, listOf(result)))
+        val restored = ServiceStateMachine(NoOpListener).apply { restore(machine.snapshot()) }
+        expectThat(restored.job(job)?.results?.single()?.whole()?.score).isEqualTo("stamp")
+    }
+
     /** Guards against texts that are missing from a snapshot. */
     @Test
     fun `restores the texts from a snapshot`() {
