Make the preparations for upstream calls after a process listens

Cause: samples of the main thread at the start show 56 of 149 in the static set-up of the HTTP client, above all of TLS contexts that nothing here uses. A core needs it neither to elect a leader nor to read its log. Change: the client factory is created at its first use, which a background task brings about once the process listens; the shutdown hook of the library is disabled in the same place.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -62,8 +62,9 @@
     /** Sizes of the in-memory state of item runs. Must be read on the engine thread. */
     val runSize: RunSize get() = RunSize(engine.runningItems, engine.unlistedResults, engine.textCharacters)
 
-    /** Starts the loop that reads the platform's upstream list while this replica is the leader. */
+    /** Prepares calls to upstreams, and starts the loop that reads the platform's list of them while this leads. */
     fun start() {
+        scope.launch { calls.prepare() }
         scope.launch { readList() }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -75,6 +75,7 @@
             memory.heldBytes
         }
         core.start()
+        scope.launch { calls.prepare() }
         scope.launch { directory.refreshPeriodically() }
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -29,18 +29,16 @@
     private val names: HeaderNames,
     private val metrics: GatewayMetrics = GatewayMetrics(),
 ) : AutoCloseable {
-    private val factory = ClientFactory.builder()
-        .connectTimeout(CONNECT_TIMEOUT)
-        .idleTimeout(IDLE_TIMEOUT)
-        .useHttp2Preface(false)
-        .http1MaxInitialLineLength(ResponseLimits.LINE_BYTES)
-        .http1MaxHeaderSize(ResponseLimits.HEADER_BYTES)
-        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer { pipeline ->
-            pipeline.addFirst(ConnectionResetHandler(), RefusalConnectionHandler(names.notRun))
-        })
-        .build()
+    /** Created at the first use, because that takes a third of the time to start a process. */
+    private val lazyFactory = lazy(::newFactory)
+    private val factory: ClientFactory by lazyFactory
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
+    /** Makes the preparations of the first call, which take long in a process that has just started. */
+    fun prepare() {
+        factory.eventLoopGroup()
+    }
+
     /**
      * Sends a request and returns its response as a stream. Aborting the response closes the connection. A response
      * that exceeds [limits] fails with a cause that [ResponseLimits.limitViolation] recognizes. [identifier] identifies
@@ -143,7 +141,22 @@
     }
 
     override fun close() {
-        factory.closeAsync()
+        if (lazyFactory.isInitialized()) factory.closeAsync()
+    }
+
+    private fun newFactory(): ClientFactory {
+        // The shutdown hook of Armeria would close connections to upstreams while requests in flight drain.
+        ClientFactory.disableShutdownHook()
+        return ClientFactory.builder()
+            .connectTimeout(CONNECT_TIMEOUT)
+            .idleTimeout(IDLE_TIMEOUT)
+            .useHttp2Preface(false)
+            .http1MaxInitialLineLength(ResponseLimits.LINE_BYTES)
+            .http1MaxHeaderSize(ResponseLimits.HEADER_BYTES)
+            .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer { pipeline ->
+                pipeline.addFirst(ConnectionResetHandler(), RefusalConnectionHandler(names.notRun))
+            })
+            .build()
     }
 
     private fun client(endpoint: Endpoint): WebClient = clients.computeIfAbsent(endpoint) {
