Run the items of resubmitted groups first, also after a change of the leader

The trainer waits for such a group whatever else is complete, so each step with one is late, and after a common restart the trainer's last step is never asked. Cause: only items with an unfinished text in the leader's memory counted as carried over; those with a result in an earlier job did not, and after a change of the leader none did. Change: an item is carried over if another job contains it.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -120,6 +120,13 @@
         return unlisted + listed
     }
 
+    /**
+     * Returns true if another job contains [item] as well. A trainer submits the items of an incomplete group again and
+     * waits for that group, whether an earlier job has results for some of them or not.
+     */
+    private fun isInAnotherJob(job: BatchJob, item: RequestIdentifier): Boolean =
+        machine.jobs.any { it.job.identifier != job.identifier && it.item(item) != null }
+
     private fun termsOf(job: BatchJob, route: Route): WeightConstraints? = job.step?.let {
         WeightConstraints(it.model, it.minimumVersion, route.batch?.singleVersion == true)
     }
@@ -140,7 +147,7 @@
             expiresAt = deadlines.expiresAt,
             maximumFailures = route.maximumAttempts,
             group = item.group,
-            isCarriedOver = item.identifier in retainedTexts,
+            isCarriedOver = isInAnotherJob(record.job, item.identifier),
             expectedTokens = item.estimatedTokens,
             terms = terms,
             text = text ?: ItemText(),
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobPlannerTest.kt
@@ -0,0 +1,53 @@
+package org.zinniahoist.gateway.core
+
+import org.junit.jupiter.api.Test
+import org.zinniahoist.model.ModelName
+import org.zinniahoist.model.Moment
+import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.ItemWork
+import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.ItemResult
+import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.ServiceCommand
+import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.state.service.StepTerms
+import strikt.api.expectThat
+import strikt.assertions.containsExactly
+import kotlin.random.Random
+
+internal class JobPlannerTest {
+    private val machine = ServiceStateMachine(SilentListener)
+    private val planner = JobPlanner(machine, JobAgeTracker(), { 0 }, Random(1))
+    private var index = 0L
+
+    private fun apply(command: ServiceCommand) {
+        machine.apply(++index, 0, StateCodec.encode(command))
+    }
+
+    private fun submit(job: String, minimumVersion: Long, vararg items: String) {
+        val terms = StepTerms(minimumVersion, ModelName("m"), WeightVersion(minimumVersion), wantedGroups = 1)
+        val requests = items.map { EngineFixture.item(it) }
+        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", requests, terms)))
+    }
+
+    private fun work(job: String): List<ItemWork> {
+        val record = checkNotNull(machine.job(JobIdentifier(job)))
+        return planner.plan(record, EngineFixture.route(), record.openItems(), Moment.ZERO).work
+    }
+
+    /**
+     * Guards against a step that waits for a group of the step before, whose items run last because their earlier
+     * results are complete but too old.
+     */
+    @Test
+    fun `an item with a result in an earlier job is carried over`() {
+        submit("j", 1, "a", "b")
+        val result = ItemResult(RequestIdentifier("a"), isCompleted = true, "text", listOf(WeightVersion(1)))
+        apply(ServiceCommand.RecordResults(JobIdentifier("j"), listOf(result)))
+        apply(ServiceCommand.EndJob(JobIdentifier("j")))
+        submit("k", 2, "c", "a", "b")
+        expectThat(work("k").filter { it.isCarriedOver }.map { it.key.item.value }).containsExactly("a", "b")
+    }
+}
