--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CompleteTextRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CompleteTextRecorder.kt
@@ -5,6 +5,7 @@
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.policy.dispatch.ItemText
 import org.zinniahoist.state.service.JobIdentifier
+import org.zinniahoist.state.service.RecordedText
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.state.service.TextPart
 import kotlin.time.Duration.Companion.milliseconds
@@ -55,9 +56,8 @@
     }
 
     private fun propose(job: String) {
-        val parts = texts.filterKeys {
-            it.job == job
-        }.entries.take(MAXIMUM_TEXTS).map { (key, text) -> part(key, text) }
+        val unrecorded = texts.entries.filter { it.key.job == job }.take(MAXIMUM_TEXTS)
+        val parts = unrecorded.map { (key, text) -> part(key, text) }
         if (parts.isEmpty()) {
             nextProposals.remove(job)
             return
@@ -81,17 +81,18 @@
         recorded.forEach(onRecorded)
     }
 
-    private fun isRecorded(key: ItemKey, text: ItemText): Boolean =
-        machine.job(JobIdentifier(key.job))?.text(key.item)?.let {
-            it.isComplete && it.identifier == text.identifier
-        } ==
-            true
+    private fun isRecorded(key: ItemKey, text: ItemText): Boolean {
+        val recorded = recordedText(key) ?: return false
+        return recorded.isComplete && recorded.identifier == text.identifier
+    }
+
+    private fun recordedText(key: ItemKey): RecordedText? = machine.job(JobIdentifier(key.job))?.text(key.item)
 
     /** Returns the part that completes the recorded text, or the whole text if another text or none is recorded. */
     private fun part(key: ItemKey, text: ItemText): TextPart {
         val identifier = checkNotNull(text.identifier) { "the text of ${key.item} has no identifier" }
         val last = checkNotNull(text.lastNumber) { "the text of ${key.item} has no events" }
-        val recorded = machine.job(JobIdentifier(key.job))?.text(key.item)?.takeIf { it.identifier == identifier }
+        val recorded = recordedText(key)?.takeIf { it.identifier == identifier }
         val unrecorded = recorded?.let { (last - it.lastNumber).toInt() }
         if (unrecorded == null || unrecorded !in 0..text.events.size) {
             return TextPart(key.item, identifier, null, last, text.events, text.versions, isLast = true)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRewards.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRewards.kt
@@ -152,15 +152,8 @@
             "event=reward-finished item=${action.key.item} job=${action.key.job} outcome=\"${action.reason}\" " +
                 "text-age-ms=${(clock() - complete.completedAt).inWholeMilliseconds}"
         }
-        val score = action.score
-        val result = if (score ==
-            null
-        ) {
-            ItemResult(action.key.item, false, "")
-        } else {
-            resultOf(action.key, complete.text, score)
-        }
-        onResult(action.key, result)
+        val failure = ItemResult(action.key.item, isCompleted = false, output = "")
+        onResult(action.key, action.score?.let { resultOf(action.key, complete.text, it) } ?: failure)
     }
 
     private fun resultOf(key: ItemKey, text: ItemText, score: String?) =
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -29,12 +29,12 @@
     private val names: HeaderNames,
     private val metrics: GatewayMetrics = GatewayMetrics(),
 ) : AutoCloseable {
-    /** Created at the first use, because that takes a third of the time to start a process. */
+    /** Created at its first use, so that a process listens before it prepares for calls, which takes long. */
     private val lazyFactory = lazy(::newFactory)
     private val factory: ClientFactory by lazyFactory
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
-    /** Makes the preparations of the first call, which take long in a process that has just started. */
+    /** Prepares for calls, so that the first one does not have to wait for it. */
     fun prepare() {
         factory.eventLoopGroup()
     }
@@ -153,9 +153,12 @@
             .useHttp2Preface(false)
             .http1MaxInitialLineLength(ResponseLimits.LINE_BYTES)
             .http1MaxHeaderSize(ResponseLimits.HEADER_BYTES)
-            .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, Consumer { pipeline ->
-                pipeline.addFirst(ConnectionResetHandler(), RefusalConnectionHandler(names.notRun))
-            })
+            .option(
+                ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+                Consumer { pipeline ->
+                    pipeline.addFirst(ConnectionResetHandler(), RefusalConnectionHandler(names.notRun))
+                },
+            )
             .build()
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -36,7 +36,6 @@
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
-import org.zinniahoist.state.service.RewardRequest
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceListener
 import org.zinniahoist.state.service.ServiceStateMachine
@@ -97,7 +96,7 @@
 
     /** Answers reward calls. */
     @Volatile
-    var scorer: (RewardCallSeen) -> HttpResponse = { scored(it, "score of ${it.identifier}") }
+    var scorer: (ReceivedRewardCall) -> HttpResponse = { RewardServiceFixture.scored(it, "score of ${it.identifier}") }
 
     /** Offset of the engine's monotonic clock. */
     @Volatile
@@ -132,13 +131,21 @@
         server.start().join()
         val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
         val upstream = ListedUpstream(UpstreamIdentity("u"), SERVICE, endpoint, "a", 4, isLeaving = false, emptyMap())
-        val scorer = ListedUpstream(UpstreamIdentity("s"), SCORERS, endpoint, "a", SCORER_SLOTS, isLeaving = false)
+        val scorer =
+            ListedUpstream(
+                UpstreamIdentity("s"),
+                RewardServiceFixture.SCORERS,
+                endpoint,
+                "a",
+                RewardServiceFixture.SCORER_SLOTS,
+                isLeaving = false,
+            )
         thread.post { engine.updateUpstreams(listOf(upstream, scorer)) }
     }
 
     private fun answer(request: RequestHeaders): HttpResponse {
         val item = checkNotNull(request.get(UpstreamFixture.Names.requestIdentifier))
-        if (request.path().startsWith(SCORE_PREFIX)) return score(request, item)
+        if (request.path().startsWith(RewardServiceFixture.SCORE_PREFIX)) return score(request, item)
         val before = request.get(UpstreamFixture.Names.lastEvent)?.toLong() ?: 0
         requestedItems += item
         resumedAfter += before
@@ -154,7 +161,7 @@
 
     private fun score(request: RequestHeaders, identifier: String): HttpResponse {
         rewardCalls += identifier
-        return scorer(RewardCallSeen(identifier, request.path(), rewardCalls.count { it == identifier }))
+        return scorer(ReceivedRewardCall(identifier, request.path(), rewardCalls.count { it == identifier }))
     }
 
     fun activate() = onThread { engine.activate() }
@@ -249,56 +256,8 @@
         server.stop().join()
     }
 
-    /** A reward call at the upstream; [number] counts the calls with the same identifier from 1. */
-    class RewardCallSeen(
-        val identifier: String,
-        val path: String,
-        val number: Int,
-    )
-
     companion object {
         val SERVICE = ServiceName("drafts")
-        val SCORERS = ServiceName("scorers")
-        const val SCORE_PREFIX = "/score/"
-        const val SCORER_SLOTS = 8
-
-        /** Returns a success whose stamp is [stamp]. */
-        fun scored(call: RewardCallSeen, stamp: String): HttpResponse = HttpResponse.of(
-            ResponseHeaders.builder(HttpStatus.OK)
-                .set(UpstreamFixture.Names.requestIdentifier, call.identifier)
-                .set(UpstreamFixture.Names.answerStamp, stamp)
-                .build(),
-            HttpData.ofUtf8("scored"),
-        )
-
-        /** Returns a response without a stamp. */
-        fun failed(call: RewardCallSeen, status: HttpStatus): HttpResponse = HttpResponse.of(
-            ResponseHeaders.builder(status).set(UpstreamFixture.Names.requestIdentifier, call.identifier).build(),
-        )
-
-        /** Returns an item that needs a score. */
-        fun rewardedItem(name: String, group: String? = null) = BatchItem(
-            identifier = RequestIdentifier(name),
-            path = "/s/$name",
-            headers = emptyList(),
-            body = byteArrayOf(1),
-            tokens = 10,
-            group = group,
-            reward = RewardRequest(RequestIdentifier("r-$name"), "h", "$SCORE_PREFIX$name?a=b", byteArrayOf(2)),
-        )
-
-        /** Returns the route of reward calls. */
-        fun scoreRoute() = Route(
-            name = "score",
-            host = "h",
-            pathPrefix = SCORE_PREFIX,
-            kind = RouteKind.REPEATABLE,
-            timeout = 2.seconds,
-            target = 500.milliseconds,
-            priority = 0,
-            shares = listOf(ServiceShare(SCORERS, 1)),
-            maximumAttempts = 4,
-        )
 
         /** Traffic shares with a single service that has no upstreams. */
         val NO_UPSTREAMS = listOf(ServiceShare(ServiceName("none"), 1))
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ItemRewardsTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ItemRewardsTest.kt
@@ -29,9 +29,9 @@
     fun close() = fixture.close()
 
     private fun begin(vararg names: String) {
-        fixture.routes(EngineFixture.route(), EngineFixture.scoreRoute())
+        fixture.routes(EngineFixture.route(), RewardServiceFixture.scoreRoute())
         fixture.activate()
-        fixture.submit("j", *names.map { EngineFixture.rewardedItem(it) }.toTypedArray())
+        fixture.submit("j", *names.map { RewardServiceFixture.rewardedItem(it) }.toTypedArray())
     }
 
     private fun holdScores() {
@@ -39,7 +39,7 @@
     }
 
     private fun releaseScores() {
-        fixture.scorer = { EngineFixture.scored(it, "score of ${it.identifier}") }
+        fixture.scorer = { RewardServiceFixture.scored(it, "score of ${it.identifier}") }
     }
 
     /** Guards against an item that is completed without its score. */
@@ -100,7 +100,7 @@
             if (call.number == 1) {
                 HttpResponse.ofFailure(IllegalStateException("cut"))
             } else {
-                EngineFixture.scored(call, "second")
+                RewardServiceFixture.scored(call, "second")
             }
         }
         begin("a")
@@ -112,7 +112,13 @@
     @Test
     fun `repeats a reward call whose response has no stamp`() {
         fixture.scorer = { call ->
-            if (call.number == 1) EngineFixture.failed(call, HttpStatus.OK) else EngineFixture.scored(call, "second")
+            if (call.number ==
+                1
+            ) {
+                RewardServiceFixture.failed(call, HttpStatus.OK)
+            } else {
+                RewardServiceFixture.scored(call, "second")
+            }
         }
         begin("a")
         expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
@@ -122,23 +128,23 @@
     /** Guards against an item whose reward call fails forever, and against one that is given up too early. */
     @Test
     fun `gives up an item after as many failed reward calls as its route allows`() {
-        fixture.scorer = { EngineFixture.failed(it, HttpStatus.INTERNAL_SERVER_ERROR) }
+        fixture.scorer = { RewardServiceFixture.failed(it, HttpStatus.INTERNAL_SERVER_ERROR) }
         begin("a")
         expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
         expectThat(fixture.proposed.single().isCompleted).isFalse()
         expectThat(fixture.proposed.single().score).isNull()
-        expectThat(fixture.rewardCalls).hasSize(EngineFixture.scoreRoute().maximumAttempts)
+        expectThat(fixture.rewardCalls).hasSize(RewardServiceFixture.scoreRoute().maximumAttempts)
     }
 
     /** Guards against refusals that are counted as failed calls. */
     @Test
     fun `does not count refused reward calls as failures`() {
-        val refusals = EngineFixture.scoreRoute().maximumAttempts + 1
+        val refusals = RewardServiceFixture.scoreRoute().maximumAttempts + 1
         fixture.scorer = { call ->
             if (call.number <= refusals) {
-                EngineFixture.failed(call, HttpStatus.SERVICE_UNAVAILABLE)
+                RewardServiceFixture.failed(call, HttpStatus.SERVICE_UNAVAILABLE)
             } else {
-                EngineFixture.scored(call, "last")
+                RewardServiceFixture.scored(call, "last")
             }
         }
         begin("a")
@@ -149,7 +155,7 @@
     /** Guards against reward calls for a job that its trainer has ended. */
     @Test
     fun `makes no reward call for a job that has ended`() {
-        fixture.scorer = { EngineFixture.failed(it, HttpStatus.SERVICE_UNAVAILABLE) }
+        fixture.scorer = { RewardServiceFixture.failed(it, HttpStatus.SERVICE_UNAVAILABLE) }
         begin("a")
         expectThat(fixture.eventually { fixture.rewardCalls.isNotEmpty() }).isTrue()
         fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
@@ -168,7 +174,7 @@
         expectThat(fixture.eventually { fixture.rewardCalls.size == 1 }).isTrue()
         fixture.apply(ServiceCommand.EndJob(JobIdentifier("j")))
         releaseScores()
-        fixture.submit("k", EngineFixture.rewardedItem("a"))
+        fixture.submit("k", RewardServiceFixture.rewardedItem("a"))
         expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
         expectThat(fixture.requestedItems).containsExactly("a")
         expectThat(fixture.rewardCalls).containsExactly("r-a", "r-a")
@@ -179,11 +185,11 @@
     fun `makes the reward call once its route is configured`() {
         fixture.routes(EngineFixture.route())
         fixture.activate()
-        fixture.submit("j", EngineFixture.rewardedItem("a"))
+        fixture.submit("j", RewardServiceFixture.rewardedItem("a"))
         expectThat(fixture.eventually { fixture.requestedItems.isNotEmpty() }).isTrue()
         fixture.pass(300.milliseconds)
         expectThat(fixture.rewardCalls).isEmpty()
-        fixture.routes(EngineFixture.route(), EngineFixture.scoreRoute())
+        fixture.routes(EngineFixture.route(), RewardServiceFixture.scoreRoute())
         expectThat(fixture.eventually { fixture.proposed.isNotEmpty() }).isTrue()
     }
 
@@ -195,6 +201,6 @@
         begin(*names.toTypedArray())
         expectThat(fixture.eventually { fixture.requestedItems.size == names.size }).isTrue()
         fixture.pass(300.milliseconds)
-        expectThat(fixture.rewardCalls).hasSize(EngineFixture.SCORER_SLOTS / 2)
+        expectThat(fixture.rewardCalls).hasSize(RewardServiceFixture.SCORER_SLOTS / 2)
     }
 }
