Start the busy time of a delay test once the delayed task is queued

Cause: the test posts a task that is busy for 200 ms and then the task whose delay it measures. The busy task begins at once, so that a poster that is held up for 6.6 ms between both sees 193.4 ms, which is the true delay: what was measured is right and the test is wrong. Change: the busy task waits until the other one is posted. The bound stays, and a delay that is measured from the start of a task (the failure that the test guards against) still reports less than it.

--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineThreadTest.kt
@@ -42,8 +42,14 @@
     fun `the queueing delay of a task is reported`() {
         val line = CompletableFuture<String>()
         EngineThread(EngineLoad { if ("run-events" in it) line.complete(it) }, onFailure = {}).use { thread ->
-            thread.post { spin(BUSY_TIME) }
+            val isPosted = CountDownLatch(1)
+            // The busy time starts once the other task is in the queue, however late its poster is.
+            thread.post {
+                isPosted.await()
+                spin(BUSY_TIME)
+            }
             thread.post(TaskKind.RUN_EVENTS) {}
+            isPosted.countDown()
             thread.repeat(10.milliseconds) {}
             val delay = DELAY.find(line.get(10, TimeUnit.SECONDS))?.groupValues?.get(1)?.toDouble()
             expectThat(delay).isNotNull().isGreaterThanOrEqualTo(BUSY_TIME.inWholeMilliseconds.toDouble())
