--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -107,6 +107,11 @@
     /** Starts all processes, sends [configuration] and waits until all entries are ready. */
     void start(String configuration) throws Exception {
         for (Machine machine : cores) machine.start();
+        finishStart(configuration);
+    }
+
+    /** Does the rest of [start] after the cores have been started. */
+    void finishStart(String configuration) throws Exception {
         for (Machine machine : entries) machine.start();
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
         while (operator("POST", "/api/config/replace", configuration.getBytes(StandardCharsets.UTF_8)) != 200) {
@@ -123,6 +128,20 @@
         note("all entries are ready");
     }
 
+    /** Kills the process of [core], deletes its disk and starts it again after [downMs]. */
+    void loseDisk(Machine core, int downMs) throws Exception {
+        core.wanted = false;
+        core.process.destroyForcibly().waitFor();
+        try (Stream<Path> files = Files.walk(folder.resolve(core.name))) {
+            files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
+        }
+        note(core.name + " lost its disk");
+        Thread.sleep(downMs);
+        core.wanted = true;
+        core.start();
+        note(core.name + " is back with an empty disk");
+    }
+
     boolean isReady(Machine entry) {
         try (Http.Connection connection = new Http.Connection(entry.host, readyPort, 1_000)) {
             return connection.call("GET", "/api/ready", Http.headers("Host", "ready"), null).status() == 200;
