--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -23,8 +23,8 @@
         try {
             code = switch (arguments[0]) {
                 case "targets" -> Targets.run(folder, isTroubled);
+                case "crashing-request" -> CrashingRequest.run(folder, isTroubled);
                 case "first-start" -> FirstStart.run(folder, isTroubled);
-                case "header-sizes" -> HeaderSizes.run(folder, isTroubled);
                 case "body-sizes" -> BodySizes.run(folder, isTroubled);
                 case "job-sizes" -> JobSizes.run(folder, isTroubled);
                 default -> throw new IllegalArgumentException("no case " + arguments[0]);
--- a/review/standin/Rig.java
+++ b/review/standin/Rig.java
@@ -175,6 +175,12 @@
         instances.put(id, new String[] {service, address, Integer.toString(slots)});
     }
 
+    /** Replaces the entry of a sampler that has started again. */
+    synchronized void relist(String former, String id, String service, String address, int slots) {
+        if (former != null) instances.remove(former);
+        enlist(id, service, address, slots);
+    }
+
     private synchronized byte[] list() {
         List<String> entries = new ArrayList<>();
         instances.forEach((id, at) -> entries.add("{\"service\":\"" + at[0] + "\",\"address\":\"" + at[1]
