Carry request targets in the path instead of a header

Cause: the target as the client sent it passed the HTTP library in a header, on both sides. Change: it passes as the Base64 form of the target in the path, which the library leaves alone and which no field of a client can imitate.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/OriginalTarget.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/OriginalTarget.kt
@@ -7,7 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.ChannelPipeline
 import io.netty.channel.CombinedChannelDuplexHandler
-import org.zinniahoist.gateway.upstream.RequestTargetHandler.Companion.HEADER
+import org.zinniahoist.gateway.framing.CarriedTarget
 import org.zinniahoist.model.RequestTarget
 
 /**
@@ -17,7 +17,6 @@
 internal object OriginalTarget {
     /** Target that the library answers with status 400. */
     private const val INVALID_TARGET = "/%"
-    private const val PLACEHOLDER_TARGET = "/"
 
     /** Makes the connection of [pipeline] keep the targets of its requests. */
     fun install(pipeline: ChannelPipeline) {
@@ -26,11 +25,11 @@
 
     /** Returns [request] with its target as the client sent it, or null if that can't be passed on unchanged. */
     fun restore(context: ServiceRequestContext, request: HttpRequest): HttpRequest? {
-        // HTTP/2 connections have no codec that sets the header, so a client could have sent it.
-        val kept = if (context.sessionProtocol().isMultiplex) null else request.headers().get(HEADER)
-        val target = kept ?: context.rawPath()
-        if (!RequestTarget.isValid(target)) return null
-        return request.withHeaders(request.headers().toBuilder().removeAndThen(HEADER).path(target).build())
+        // HTTP/2 connections have no codec that is followed by a keeper.
+        val isKept = !context.sessionProtocol().isMultiplex
+        val target = if (isKept) CarriedTarget.targetOf(context.rawPath()) else context.rawPath()
+        if (target == null || !RequestTarget.isValid(target)) return null
+        return request.withHeaders(request.headers().toBuilder().path(target).build())
     }
 
     /**
@@ -62,7 +61,7 @@
         }
     }
 
-    /** Moves the target of each request into [HEADER]. */
+    /** Makes the target of each request a [CarriedTarget]. */
     private class TargetKeeper : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
             if (message is io.netty.handler.codec.http.HttpRequest && message.decoderResult().isSuccess) keep(message)
@@ -71,10 +70,7 @@
 
         private fun keep(request: io.netty.handler.codec.http.HttpRequest) {
             val target = request.uri()
-            val isValid = RequestTarget.isValid(target)
-            request.headers().remove(HEADER)
-            if (isValid) request.headers().set(HEADER, target)
-            request.uri = if (isValid) PLACEHOLDER_TARGET else INVALID_TARGET
+            request.uri = if (RequestTarget.isValid(target)) CarriedTarget.pathOf(target) else INVALID_TARGET
         }
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
@@ -5,11 +5,12 @@
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpRequest
+import org.zinniahoist.gateway.framing.CarriedTarget
 import java.net.SocketAddress
 
 /**
- * Sends the target in [HEADER] in place of the one that the HTTP library has rewritten: it encodes characters, and
- * fails targets that upstreams accept.
+ * Sends the target of a request in place of its [CarriedTarget], which passes the HTTP library unchanged. The library
+ * encodes characters of targets, and fails targets that upstreams accept.
  */
 internal class RequestTargetHandler : ChannelOutboundHandlerAdapter() {
     override fun connect(
@@ -31,18 +32,8 @@
 
     private class TargetWriter : ChannelOutboundHandlerAdapter() {
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
-            if (message is HttpRequest) restoreTarget(message)
+            if (message is HttpRequest) message.uri = checkNotNull(CarriedTarget.targetOf(message.uri()))
             context.write(message, promise)
         }
-
-        private fun restoreTarget(request: HttpRequest) {
-            request.headers().get(HEADER)?.let { request.uri = it }
-            request.headers().remove(HEADER)
-        }
-    }
-
-    companion object {
-        /** Header that carries a request target past the HTTP library, within this process. */
-        const val HEADER = "x-original-target"
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -16,6 +16,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.framing.CarriedTarget
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.RequestTarget
@@ -64,7 +65,7 @@
         onSent: () -> Unit = {},
     ): HttpResponse {
         require(RequestTarget.isValid(headers.path())) { "a request target that can't be sent" }
-        val sentHeaders = headers.toBuilder().path(PLACEHOLDER_TARGET).set(RequestTargetHandler.HEADER, headers.path())
+        val sentHeaders = headers.toBuilder().path(CarriedTarget.pathOf(headers.path()))
         val request = HttpRequest.of(sentHeaders.build(), HttpData.wrap(body))
         val options = RequestOptions.builder()
             .responseTimeout(timeout.toJavaDuration())
@@ -193,7 +194,6 @@
     }
 
     companion object {
-        private const val PLACEHOLDER_TARGET = "/"
         private val logger = KotlinLogging.logger {}
 
         /** A reachable upstream accepts a connection within a few milliseconds, a partitioned one never. */
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/OriginalTargetTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/OriginalTargetTest.kt
@@ -77,6 +77,13 @@
         expectThat(upstream.requestLines.remove()).isEqualTo("POST /s/a")
     }
 
+    /** Guards against a field of a client that is lost because the process uses its name. */
+    @Test
+    fun `a header of any name reaches the upstream`() {
+        expectThat(send("/s/a", "x-original-target: /s/b")).startsWith("HTTP/1.1 200")
+        expectThat(upstream.headers).contains("x-original-target: /s/b")
+    }
+
     /** Guards against requests on a kept connection that get the target of the one before. */
     @Test
     fun `each request of a connection keeps its own target`() {
