Read requests before the HTTP library does, and ignore offers of HTTP/2

Callers that offer an upgrade to HTTP/2, as several clients do by default, got 404 for every path; others with HTTP/2 got 400 for odd targets.

Cause: the handler that keeps targets stood behind the library's HTTP/1 codec. The library turns an upgraded request into stream 1 of HTTP/2, where the kept target was not believed, so the placeholder was routed.

Change: RequestFramingHandler reads heads and bodies at the connection, before the codec, and passes on heads with carried targets. HTTP/2 is not offered: an upgrade is ignored, the preface gets 505. The handler that waited for the codec byte by byte is gone.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -77,11 +77,6 @@
     val requestsInFlight: Int get() = inFlight.get()
 
     override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
-        val original = OriginalTarget.restore(context, request) ?: return HttpResponse.of(HttpStatus.BAD_REQUEST)
-        return serveOriginal(context, original)
-    }
-
-    private fun serveOriginal(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
         // Counted before the phase is read, so that no uncounted request is forwarded once REFUSING has begun.
         inFlight.incrementAndGet()
         val reservation = memory.newReservation()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -15,6 +15,8 @@
 import org.zinniahoist.gateway.GatewayProcess
 import org.zinniahoist.gateway.core.ReplicaGroup
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.framing.OriginalTargets
+import org.zinniahoist.gateway.framing.RequestFramingHandler
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.link.CoreObserver
 import org.zinniahoist.gateway.link.toEvidence
@@ -74,11 +76,10 @@
 
     override fun start() {
         clientServer = startServer(checkNotNull(settings.clients)) { builder ->
-            builder.childChannelPipelineCustomizer(OriginalTarget::install)
-            builder.http1MaxInitialLineLength(MAXIMUM_HEAD_BYTES)
-            builder.http1MaxHeaderSize(MAXIMUM_HEAD_BYTES)
-            builder.http2MaxHeaderListSize(MAXIMUM_HEAD_BYTES.toLong())
-            builder.serviceUnder("/", http)
+            builder.childChannelPipelineCustomizer { it.addFirst(newFramingHandler()) }
+            builder.http1MaxInitialLineLength(LIBRARY_HEAD_BYTES)
+            builder.http1MaxHeaderSize(LIBRARY_HEAD_BYTES)
+            builder.serviceUnder("/", OriginalTargets(http))
         }
         readinessServer = startServer(checkNotNull(settings.readiness)) { builder ->
             builder.service(GatewayMetrics.PATH, metrics.service())
@@ -101,6 +102,11 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
+    private fun newFramingHandler() = RequestFramingHandler { fault ->
+        metrics.onEvent("request_malformed", fault.name.lowercase())
+        logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
+    }
+
     private fun onLeaving(upstream: UpstreamIdentity) {
         if (directory.onLeaving(upstream)) metrics.onEvent("upstream_leaving", "response")
     }
@@ -167,8 +173,8 @@
         /** Longer than any keep-alive time that a configuration guarantees to clients. */
         val IDLE_TIMEOUT = 60.seconds
 
-        /** Ceiling of the limit that operators set for the head of a request, in bytes. */
-        const val MAXIMUM_HEAD_BYTES = 256 shl 10
+        /** The library receives heads that are checked already, with targets in a form that is a third longer. */
+        const val LIBRARY_HEAD_BYTES = 2 * RequestFramingHandler.MAXIMUM_HEAD_BYTES
 
         /** Slightly above the largest request body that operators allow. */
         const val MAXIMUM_REQUEST_BYTES = 34L shl 20
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/OriginalTargets.kt
@@ -0,0 +1,22 @@
+package org.zinniahoist.gateway.framing
+
+import com.linecorp.armeria.common.HttpRequest
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.ResponseHeaders
+import com.linecorp.armeria.server.HttpService
+import com.linecorp.armeria.server.ServiceRequestContext
+
+/** Gives each request the target that its client sent before [delegate] serves it, and answers refused requests. */
+internal class OriginalTargets(private val delegate: HttpService) : HttpService {
+    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        val path = context.rawPath()
+        val target = CarriedTarget.targetOf(path) ?: return refuse(context, CarriedTarget.refusalOf(path))
+        return delegate.serve(context, request.withHeaders(request.headers().toBuilder().path(target).build()))
+    }
+
+    private fun refuse(context: ServiceRequestContext, status: Int?): HttpResponse {
+        context.initiateConnectionShutdown()
+        return HttpResponse.of(ResponseHeaders.of(HttpStatus.valueOf(status ?: HttpStatus.BAD_REQUEST.code())))
+    }
+}
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
@@ -0,0 +1,58 @@
+package org.zinniahoist.gateway.framing
+
+import org.zinniahoist.model.FieldSyntax
+import org.zinniahoist.model.RequestTarget
+
+/** Head of a client's request, checked by the rules of RFC 9112. Holds nothing that two readers take differently. */
+internal class RequestHead private constructor(
+    private val method: String,
+    private val target: String,
+    private val version: String,
+    private val fields: List<MessageField>,
+    val framing: BodyFraming,
+) {
+    /**
+     * Returns the head for the HTTP library: its target is carried as [CarriedTarget], and without an offer to change
+     * the protocol, which is not accepted.
+     */
+    fun forLibrary(): String {
+        val text = StringBuilder("$method ${CarriedTarget.pathOf(target)} $version\r\n")
+        for (field in fields) {
+            if (!UPGRADE_FIELDS.any(field::isNamed)) text.append("${field.name}: ${field.value}\r\n")
+        }
+        return text.append("\r\n").toString()
+    }
+
+    companion object {
+        private const val VERSION_PREFIX = "HTTP/"
+        private const val HTTP_1_0 = "HTTP/1.0"
+        private const val HTTP_1_1 = "HTTP/1.1"
+        private const val REQUEST_LINE_PARTS = 3
+        private val UPGRADE_FIELDS = listOf("upgrade", "http2-settings")
+
+        /**
+         * Parses the [text] of a head.
+         *
+         * @throws MessageFaultException if the request must be refused.
+         */
+        fun parse(text: String): RequestHead {
+            val head = MessageHead.parse(text)
+            val parts = head.startLine.split(' ')
+            if (parts.size != REQUEST_LINE_PARTS) throw MessageFaultException(MessageFault.START_LINE)
+            val (method, target, version) = parts
+            checkLine(method, target, version)
+            val framing = BodyFraming.of(head)
+            return RequestHead(method, target, version, head.fields, framing)
+        }
+
+        private fun checkLine(method: String, target: String, version: String) {
+            val fault = when {
+                !FieldSyntax.isName(method) || !version.startsWith(VERSION_PREFIX) -> MessageFault.START_LINE
+                version != HTTP_1_0 && version != HTTP_1_1 -> MessageFault.VERSION
+                !RequestTarget.isValid(target) -> MessageFault.TARGET
+                else -> null
+            }
+            if (fault != null) throw MessageFaultException(fault)
+        }
+    }
+}
