Refuse requests that two readers take differently

A request with Content-Length and chunks was accepted, and what stood behind its last chunk ran as a request of its own.

Cause: the library's codec resolves such heads without a word, and drops Content-Length before any later handler sees it. Change: the framing handler checks each head by RFC 9112 and refuses it with 400 or 501 after the answers to earlier requests; all bytes behind it are discarded.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -102,7 +102,7 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
-    private fun newFramingHandler() = RequestFramingHandler { fault ->
+    private fun newFramingHandler() = RequestFramingHandler(dialect.headers.requestIdentifier) { fault ->
         metrics.onEvent("request_malformed", fault.name.lowercase())
         logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/BodyFraming.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/BodyFraming.kt
@@ -13,6 +13,8 @@
     data object UntilClose : BodyFraming
 
     companion object {
+        private const val CHUNKED = "chunked"
+
         /** Enough for all lengths that fit into a [Long]. */
         private const val MAXIMUM_DIGITS = 18
 
@@ -25,12 +27,20 @@
             val codings = head.valuesOf("transfer-encoding")
             val lengths = head.valuesOf("content-length")
             return when {
-                codings.isNotEmpty() -> Chunked
+                codings.isNotEmpty() && lengths.isNotEmpty() -> throw MessageFaultException(
+                    MessageFault.LENGTH_AND_CODING,
+                )
+                codings.isNotEmpty() -> chunked(codings)
                 lengths.isNotEmpty() -> Length(lengthOf(lengths))
                 else -> Unstated
             }
         }
 
+        private fun chunked(codings: List<String>): BodyFraming {
+            val isKnown = codings.singleOrNull().equals(CHUNKED, ignoreCase = true)
+            return if (isKnown) Chunked else throw MessageFaultException(MessageFault.CODING)
+        }
+
         private fun lengthOf(lengths: List<String>): Long {
             val length = lengths.singleOrNull()?.takeIf { it.length in 1..MAXIMUM_DIGITS && it.all(::isDigit) }
             return length?.toLong() ?: throw MessageFaultException(MessageFault.LENGTH)
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandler.kt
@@ -13,9 +13,13 @@
  *
  * HTTP/2 is not offered: an upgrade is ignored, and the preface of HTTP/2 is refused like any unknown version.
  *
+ * @param identifierName field that identifies a request and that may stand in it once.
  * @param onFault called on the event loop of the connection for each refused message.
  */
-internal class RequestFramingHandler(private val onFault: (MessageFault) -> Unit) : ByteToMessageDecoder() {
+internal class RequestFramingHandler(
+    private val identifierName: String,
+    private val onFault: (MessageFault) -> Unit,
+) : ByteToMessageDecoder() {
     private val scanner = HeadScanner()
     private val body = BodyReader(MAXIMUM_CHUNK_LINE_BYTES, MAXIMUM_HEAD_BYTES)
     private var isRefused = false
@@ -43,7 +47,7 @@
         }
         if (length == null) return
         scanner.reset()
-        val head = RequestHead.parse(input.readCharSequence(length, Charsets.ISO_8859_1).toString())
+        val head = RequestHead.parse(input.readCharSequence(length, Charsets.ISO_8859_1).toString(), identifierName)
         output += input.newBuffer(head.forLibrary())
         body.start(head.framing)
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
@@ -29,19 +29,24 @@
         private const val HTTP_1_1 = "HTTP/1.1"
         private const val REQUEST_LINE_PARTS = 3
         private val UPGRADE_FIELDS = listOf("upgrade", "http2-settings")
+        private val HOST_EXCLUDED = setOf('/', '?', '#', '@', ',', '\\')
 
         /**
-         * Parses the [text] of a head.
+         * Parses the [text] of a head, in which a field named [identifierName] may stand once.
          *
          * @throws MessageFaultException if the request must be refused.
          */
-        fun parse(text: String): RequestHead {
+        fun parse(text: String, identifierName: String): RequestHead {
             val head = MessageHead.parse(text)
             val parts = head.startLine.split(' ')
             if (parts.size != REQUEST_LINE_PARTS) throw MessageFaultException(MessageFault.START_LINE)
             val (method, target, version) = parts
             checkLine(method, target, version)
+            checkHost(head.valuesOf("host"), version)
+            if (head.valuesOf(identifierName).size > 1) throw MessageFaultException(MessageFault.REPEATED_IDENTIFIER)
             val framing = BodyFraming.of(head)
+            // RFC 9112, section 6.1: the framing of a message of HTTP/1.0 with a coding is faulty.
+            if (version == HTTP_1_0 && framing == BodyFraming.Chunked) throw MessageFaultException(MessageFault.CODING)
             return RequestHead(method, target, version, head.fields, framing)
         }
 
@@ -54,5 +59,12 @@
             }
             if (fault != null) throw MessageFaultException(fault)
         }
+
+        private fun checkHost(hosts: List<String>, version: String) {
+            val isCountRight = hosts.size == 1 || (hosts.isEmpty() && version == HTTP_1_0)
+            if (!isCountRight || !hosts.all(::isHost)) throw MessageFaultException(MessageFault.HOST)
+        }
+
+        private fun isHost(value: String): Boolean = value.all { it in '!'..'~' && it !in HOST_EXCLUDED }
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
@@ -59,7 +59,7 @@
     }
 
     private fun pass(bytes: String, pieceBytes: Int): String {
-        val channel = EmbeddedChannel(RequestFramingHandler { faults += it })
+        val channel = EmbeddedChannel(RequestFramingHandler("x-request") { faults += it })
         val all = bytes.toByteArray(Charsets.ISO_8859_1)
         for (piece in all.asList().chunked(minOf(pieceBytes, all.size))) {
             channel.writeInbound(Unpooled.wrappedBuffer(piece.toByteArray()))
@@ -97,12 +97,23 @@
 
         @JvmStatic
         fun faultyRequests(): List<FaultyRequest> = listOf(
+            FaultyRequest(MessageFault.LENGTH_AND_CODING, with("content-length: 3", "transfer-encoding: chunked")),
+            FaultyRequest(MessageFault.LENGTH_AND_CODING, with("transfer-encoding: chunked", "content-length: 3")),
+            FaultyRequest(MessageFault.CODING, with("transfer-encoding: xchunked")),
+            FaultyRequest(MessageFault.CODING, with("transfer-encoding: identity, chunked")),
+            FaultyRequest(MessageFault.CODING, with("transfer-encoding: chunked", "transfer-encoding: chunked")),
+            FaultyRequest(MessageFault.CODING, with("transfer-encoding:")),
+            FaultyRequest(MessageFault.CODING, with("transfer-encoding: chunked").replace("HTTP/1.1", "HTTP/1.0")),
             FaultyRequest(MessageFault.LENGTH, with("content-length: 3", "content-length: 3")),
             FaultyRequest(MessageFault.LENGTH, with("content-length: 3, 3")),
             FaultyRequest(MessageFault.LENGTH, with("content-length: +3")),
             FaultyRequest(MessageFault.LENGTH, with("content-length: 0x3")),
             FaultyRequest(MessageFault.LENGTH, with("content-length:")),
             FaultyRequest(MessageFault.LENGTH, with("content-length: ${"9".repeat(19)}")),
+            FaultyRequest(MessageFault.HOST, with("host: other")),
+            FaultyRequest(MessageFault.HOST, "POST /s/a HTTP/1.1\r\n\r\n"),
+            FaultyRequest(MessageFault.HOST, "POST /s/a HTTP/1.1\r\nhost: a b\r\n\r\n"),
+            FaultyRequest(MessageFault.REPEATED_IDENTIFIER, with("x-request: a", "X-Request: b")),
             FaultyRequest(MessageFault.FIELD, with("x-a: 1", " folded")),
             FaultyRequest(MessageFault.FIELD, with("x-a : 1")),
             FaultyRequest(MessageFault.FIELD, with("x a: 1")),
