Discard responses of upstreams that two readers take differently

A response with two framings, two lengths, a folded line or a space before a colon was returned as the upstream's whole answer.

Cause: the library's client codec resolves them, as its server codec does. Change: ResponseFramingHandler reads each response before the codec and passes on an unreadable one in place of a faulty one, so the call fails as after a lost answer. Bytes that arrive while no request waits close the connection. Limits of lines, heads and bodies stay with the library.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageFault.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageFault.kt
@@ -20,6 +20,9 @@
     CODING(501),
     CHUNK(400),
     CHUNK_LINE_TOO_LONG(400),
+
+    /** Bytes of an upstream while no request waits for a response. */
+    UNEXPECTED(400),
     LINE_TOO_LONG(414),
     HEAD_TOO_LONG(431),
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpClientCodec
 import io.netty.handler.codec.http.HttpRequest
 import org.zinniahoist.gateway.framing.CarriedTarget
+import org.zinniahoist.gateway.framing.ResponseFramingHandler
 import java.net.SocketAddress
 
 /**
@@ -32,7 +33,10 @@
 
     private class TargetWriter : ChannelOutboundHandlerAdapter() {
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
-            if (message is HttpRequest) message.uri = checkNotNull(CarriedTarget.targetOf(message.uri()))
+            if (message is HttpRequest) {
+                message.uri = checkNotNull(CarriedTarget.targetOf(message.uri()))
+                context.pipeline().get(ResponseFramingHandler::class.java)?.onRequest(message.method().name())
+            }
             context.write(message, promise)
         }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -17,6 +17,8 @@
 import kotlinx.coroutines.CancellationException
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.framing.CarriedTarget
+import org.zinniahoist.gateway.framing.MessageFault
+import org.zinniahoist.gateway.framing.ResponseFramingHandler
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.RequestTarget
@@ -106,6 +108,11 @@
         request.get(names.expectedUpstream)?.let { onLeaving(UpstreamIdentity(it)) }
     }
 
+    private fun reportFault(fault: MessageFault) {
+        metrics.onEvent("response_malformed", fault.name.lowercase())
+        logger.info { "event=response-malformed fault=${fault.name.lowercase()}" }
+    }
+
     private fun reportLimit(
         exceeded: AnswerTooLongException,
         endpoint: Endpoint,
@@ -177,6 +184,7 @@
                 Consumer { pipeline ->
                     pipeline.addFirst(
                         ConnectionResetHandler(),
+                        ResponseFramingHandler(::reportFault),
                         RefusalConnectionHandler(names.notRun),
                         RequestTargetHandler(),
                     )
