Decide in one place which fields go to upstreams

The headers of an item of a batch job could change its path, method, host and last event, hold up its body (Expect), and pass to the upstream's connection. Of two names that differ by case one was lost, and characters outside ASCII became question marks.

Cause: ItemRuns set the item's map on the request as it stood, after path and method. Change: ForwardedFields builds each request to an upstream, for single requests, streams, items, reward calls, orders and probes, and leaves out fields of the connection, of the framing, and those that the process sets.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -4,6 +4,7 @@
 import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.ItemRun
 import org.zinniahoist.gateway.upstream.ResponseLimits
 import org.zinniahoist.gateway.upstream.RunObserver
@@ -39,6 +40,11 @@
 ) : RunConnections {
     private val runs = HashMap<Long, ItemRun>()
 
+    /** Fields that only this process may set in the request of an item. */
+    private val ownFields =
+        setOf(headerNames.requestIdentifier, headerNames.expectedUpstream, headerNames.lastEvent)
+            .mapTo(HashSet()) { it.lowercase() }
+
     /** Items whose request could not be sent; each is logged once. */
     private val reportedItems = LinkedHashSet<ItemKey>()
 
@@ -90,14 +96,17 @@
     }
 
     private fun headers(job: BatchJob, item: BatchItem, action: DispatchAction.Start): RequestHeaders {
-        val builder = RequestHeaders.builder(HttpMethod.POST, item.path).authority(job.host)
-        item.headers.forEach { builder.set(it.name, it.value) }
+        val fields = item.headers.map { it.name to bytesOf(it.value) }
+        val builder = ForwardedFields.request(HttpMethod.POST, item.path, job.host, fields, ownFields)
         builder.set(headerNames.requestIdentifier, item.identifier.value)
         builder.set(headerNames.expectedUpstream, action.upstream.identity.value)
         action.afterEvent?.let { builder.set(headerNames.lastEvent, it.toString()) }
         return builder.build()
     }
 
+    /** Returns [text] with a character for each of its bytes in UTF-8. */
+    private fun bytesOf(text: String): String = String(text.toByteArray(Charsets.UTF_8), Charsets.ISO_8859_1)
+
     private companion object {
         val logger = KotlinLogging.logger {}
         const val MAXIMUM_REPORTED_ITEMS = 1_000
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.upstream.CrashGuard
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
@@ -94,8 +95,7 @@
     }
 
     private fun headers(action: RewardAction.Call, request: RewardRequest): RequestHeaders =
-        RequestHeaders.builder(HttpMethod.POST, request.path)
-            .authority(request.host)
+        ForwardedFields.request(HttpMethod.POST, request.path, request.host)
             .set(names.requestIdentifier, request.identifier.value)
             .set(names.expectedUpstream, action.upstream.identity.value)
             .set(names.remainingMilliseconds, action.timeout.inWholeMilliseconds.toString())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -1,13 +1,13 @@
 package org.zinniahoist.gateway.core
 
 import com.linecorp.armeria.common.HttpMethod
-import com.linecorp.armeria.common.RequestHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.dialect.WeightOrder
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.FencingToken
 import org.zinniahoist.model.ListedUpstream
@@ -100,7 +100,7 @@
             fence = grant.fence,
             expectedOrders = action.expectedOrders,
         )
-        val headers = RequestHeaders.builder(HttpMethod.POST, dialect.paths.order)
+        val headers = ForwardedFields.request(HttpMethod.POST, dialect.paths.order)
             .set("content-type", "application/json")
             .set(dialect.headers.expectedUpstream, action.upstream.identity.value)
             .build()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -21,6 +21,7 @@
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.CrashGuard
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.ResponseMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -192,7 +193,7 @@
     }
 
     private fun respond(answer: WholeAnswer): HttpResponse =
-        HttpResponse.of(Forwarder.responseHeaders(answer.headers), HttpData.wrap(answer.body))
+        HttpResponse.of(ForwardedFields.response(answer.headers), HttpData.wrap(answer.body))
 
     private suspend fun stream(request: HttpRequest, forwardedRequest: ForwardedRequest): HttpResponse =
         when (val stream = streams.forward(forwardedRequest)) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -1,10 +1,6 @@
 package org.zinniahoist.gateway.entry
 
-import com.linecorp.armeria.common.HttpHeaderNames
-import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.RequestHeaders
-import com.linecorp.armeria.common.RequestHeadersBuilder
-import com.linecorp.armeria.common.ResponseHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
@@ -16,6 +12,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.upstream.CrashGuard
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
@@ -232,7 +229,7 @@
 
         private fun headersFor(upstream: ListedUpstream): RequestHeaders {
             val remaining = (request.deadline - clock()).inWholeMilliseconds.coerceAtLeast(1)
-            return requestHeaders(request.headers)
+            return ForwardedFields.request(request.headers)
                 .set(names.expectedUpstream, upstream.identity.value)
                 .set(names.remainingMilliseconds, remaining.toString())
                 .build()
@@ -254,39 +251,6 @@
         private const val MISDIRECTED_REQUEST = 421
         private const val SERVER_ERROR = 500
         private const val REDIRECTION = 300
-        private val HOP_BY_HOP_HEADERS = setOf(
-            "connection",
-            "keep-alive",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "proxy-connection",
-            "proxy-authorization",
-            "proxy-authenticate",
-            "content-length",
-            "expect",
-        )
-
-        /** Returns [headers] without hop-by-hop headers. */
-        fun requestHeaders(headers: RequestHeaders): RequestHeadersBuilder {
-            val builder = RequestHeaders.builder(headers.method(), headers.path())
-            headers.authority()?.let(builder::authority)
-            for ((name, value) in headers) {
-                if (!name.startsWith(":") && name.toString() !in HOP_BY_HOP_HEADERS) builder.add(name, value)
-            }
-            if (headers.method() != HttpMethod.GET) builder.remove(HttpHeaderNames.CONTENT_LENGTH)
-            return builder
-        }
-
-        /** Returns the [headers] of a response without hop-by-hop headers. */
-        fun responseHeaders(headers: ResponseHeaders): ResponseHeaders {
-            val builder = ResponseHeaders.builder(headers.status())
-            for ((name, value) in headers) {
-                if (!name.startsWith(":") && name.toString() !in HOP_BY_HOP_HEADERS) builder.add(name, value)
-            }
-            return builder.build()
-        }
 
         /** Returns the remaining time that a client states in [remainingMilliseconds], at most [limit]. */
         fun timeBudget(remainingMilliseconds: String?, limit: Duration): Duration {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -17,6 +17,7 @@
 import org.zinniahoist.gateway.upstream.AnswerTooLongException
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.EventSizeLimiter
+import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.ResponseLimits
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -146,7 +147,7 @@
             head.status().code() == MISDIRECTED_REQUEST -> Attempt.NotRun("address belongs to another upstream")
             head.status().isSuccess && !head.contains(names.answerStamp) -> Attempt.Lost("stamp missing")
             else -> Attempt.Started(
-                HttpResponse.of(Forwarder.responseHeaders(head), limitEvents(head, response, split.body())),
+                HttpResponse.of(ForwardedFields.response(head), limitEvents(head, response, split.body())),
             )
         }
     }
@@ -179,7 +180,7 @@
 
     private fun headersFor(request: ForwardedRequest, upstream: ListedUpstream): RequestHeaders {
         val remaining = (request.deadline - clock()).inWholeMilliseconds.coerceAtLeast(1)
-        return Forwarder.requestHeaders(request.headers)
+        return ForwardedFields.request(request.headers)
             .set(names.expectedUpstream, upstream.identity.value)
             .set(names.remainingMilliseconds, remaining.toString())
             .build()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -150,7 +150,8 @@
         path: String,
         timeout: Duration,
         limits: ResponseLimits = ResponseLimits.CALL,
-    ): WholeAnswer? = whole(endpoint, RequestHeaders.of(HttpMethod.GET, path), ByteArray(0), timeout, limits)
+    ): WholeAnswer? =
+        whole(endpoint, ForwardedFields.request(HttpMethod.GET, path).build(), ByteArray(0), timeout, limits)
 
     /**
      * Calls [action] once all event loops have delivered the bytes that arrived before this call.
