Refuse jobs with an item that can't be sent

A job with a header name that holds a space, or a line break in a value, got 202, and then no upstream ever got the item and no result came.

Cause: only paths and bodies were checked before the acceptance. The refusal is a problem document with the item's position and the part.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
@@ -1,5 +1,9 @@
 package org.zinniahoist.gateway.core
 
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.future.await
@@ -10,8 +14,10 @@
 import org.zinniahoist.gateway.dialect.ResultPages
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
+import org.zinniahoist.state.service.JobRules
 import org.zinniahoist.state.service.PackedResults
 import org.zinniahoist.state.service.ServiceAnswer
 import org.zinniahoist.state.service.ServiceCommand
@@ -57,7 +63,7 @@
     private suspend fun submit(call: ServiceCall.SubmitJob): ServiceReply {
         if (machine.job(JobIdentifier(call.job)) != null) return readLinearizable { ServiceReply.Done }
         if (!host().status.isLeader) return ServiceReply.NotLeader(host().status.leader)
-        return dialect.job(call.job, call.host, call.path, call.body).fold(
+        return decode(call).fold(
             { fault ->
                 logger.info { "event=job-refused job=${call.job} fault=\"$fault\"" }
                 ServiceReply.Invalid(fault)
@@ -70,6 +76,12 @@
         )
     }
 
+    private fun decode(call: ServiceCall.SubmitJob): Either<String, BatchJob> =
+        dialect.job(call.job, call.host, call.path, call.body).flatMap { job ->
+            val fault = JobRules.faultOf(job)
+            if (fault == null) job.right() else fault.toString().left()
+        }
+
     private suspend fun readJob(call: ServiceCall.ReadJob, recipient: ReplyRecipient): ServiceReply {
         var found: JobRecord? = null
         val reply = readLinearizable {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -6,7 +6,6 @@
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
-import com.linecorp.armeria.common.MediaType
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
@@ -17,7 +16,6 @@
 import kotlinx.coroutines.future.future
 import org.zinniahoist.gateway.dialect.ClientCall
 import org.zinniahoist.gateway.dialect.PlatformDialect
-import org.zinniahoist.gateway.dialect.ResultPages
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.CrashGuard
@@ -59,7 +57,7 @@
     private val names = dialect.headers
     private val forwarder = Forwarder(names, calls, directory, clock, random, crashes)
     private val streams = StreamForwarder(names, calls, directory, scope, clock, random, crashes)
-    private val pages = ResultPages(dialect)
+    private val jobResponses = JobResponses(dialect)
     private val inFlight = AtomicInteger()
     private val open: MutableSet<PendingRequest> = ConcurrentHashMap.newKeySet()
 
@@ -258,24 +256,12 @@
     private fun waitOf(call: ServiceCall): Duration =
         if (call is ServiceCall.ReadJob) call.waitMilliseconds.milliseconds else Duration.ZERO
 
-    private fun respond(request: HttpRequest, reply: ServiceReply, success: HttpStatus): HttpResponse = when (reply) {
-        is ServiceReply.Done -> HttpResponse.of(success, MediaType.JSON, "{}")
-
-        is ServiceReply.Content -> json(success, reply.content)
-
-        is ServiceReply.Results -> json(success, pages.page(reply))
-
-        is ServiceReply.NotFound -> HttpResponse.of(HttpStatus.NOT_FOUND)
-
-        is ServiceReply.Invalid -> HttpResponse.of(HttpStatus.BAD_REQUEST)
-
-        is ServiceReply.Unavailable -> refusal(request, RefusalCause.NO_LEADER, reply.detail)
-
-        else -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
-    }
-
-    private fun json(status: HttpStatus, content: ByteArray): HttpResponse =
-        HttpResponse.of(ResponseHeaders.of(status, "content-type", "application/json"), HttpData.wrap(content))
+    private fun respond(request: HttpRequest, reply: ServiceReply, success: HttpStatus): HttpResponse =
+        if (reply is ServiceReply.Unavailable) {
+            refusal(request, RefusalCause.NO_LEADER, reply.detail)
+        } else {
+            jobResponses.of(reply, success)
+        }
 
     /** Returns a 503 with a retry-after header for a request that has not run and will not run. */
     private fun refusal(request: HttpRequest, cause: RefusalCause, reason: String): HttpResponse {
--- /dev/null
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/JobResponses.kt
@@ -0,0 +1,40 @@
+package org.zinniahoist.gateway.entry
+
+import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpResponse
+import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.MediaType
+import com.linecorp.armeria.common.ResponseHeaders
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.dialect.ResultPages
+import org.zinniahoist.wire.ServiceReply
+
+/** Turns replies of the core about batch jobs into responses for clients. */
+internal class JobResponses(dialect: PlatformDialect) {
+    private val pages = ResultPages(dialect)
+
+    /** Returns the response to [reply], with status [success] if the call has succeeded. */
+    fun of(reply: ServiceReply, success: HttpStatus): HttpResponse = when (reply) {
+        is ServiceReply.Done -> HttpResponse.of(success, MediaType.JSON, "{}")
+        is ServiceReply.Content -> response(success, "application/json", reply.content)
+        is ServiceReply.Results -> response(success, "application/json", pages.page(reply))
+        is ServiceReply.NotFound -> HttpResponse.of(HttpStatus.NOT_FOUND)
+        is ServiceReply.Invalid -> problem(HttpStatus.BAD_REQUEST, reply.detail)
+        else -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+    }
+
+    /** Returns a problem document (RFC 9457). */
+    private fun problem(status: HttpStatus, detail: String): HttpResponse {
+        val document = buildJsonObject {
+            put("title", status.reasonPhrase())
+            put("status", status.code())
+            put("detail", detail)
+        }
+        return response(status, "application/problem+json", document.toString().encodeToByteArray())
+    }
+
+    private fun response(status: HttpStatus, type: String, content: ByteArray): HttpResponse =
+        HttpResponse.of(ResponseHeaders.of(status, "content-type", type), HttpData.wrap(content))
+}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
@@ -1,6 +1,7 @@
 package org.zinniahoist.gateway.core
 
 import arrow.core.getOrElse
+import arrow.core.right
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.future.await
 import kotlinx.coroutines.runBlocking
@@ -16,9 +17,13 @@
 import org.zinniahoist.consensus.ReplicaAddress
 import org.zinniahoist.consensus.ReplicaIdentifier
 import org.zinniahoist.consensus.StateMachine
+import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.model.InstanceName
+import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.HeaderField
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceStateMachine
@@ -27,6 +32,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
 import java.nio.file.Path
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -99,6 +105,26 @@
         expectThat(reply).isEqualTo(ServiceReply.NotFound)
     }
 
+    /** Guards against accepting a job with an item that no upstream ever gets. */
+    @Test
+    fun `a job with an item that can't be sent is refused and not kept`(): Unit = runBlocking {
+        submit()
+        val field = HeaderField("x a", "1")
+        val item = BatchItem(RequestIdentifier("i"), "/p/", listOf(field), ByteArray(0), tokens = 1)
+        val dialect = object : PlatformDialect by StubDialect() {
+            override fun job(
+                identifier: String,
+                host: String,
+                path: String,
+                body: ByteArray,
+            ) = BatchJob(JobIdentifier(identifier), host, path, listOf(item)).right()
+        }
+        val reply = JobCallHandler(dialect, machine) { leader }
+            .answer(ServiceCall.SubmitJob("h", "/p/", "k", ByteArray(0)))
+        expectThat(reply).isEqualTo(ServiceReply.Invalid("item 0: malformed header name"))
+        expectThat(machine.job(JobIdentifier("k"))).isNull()
+    }
+
     private companion object {
         val BOUND = 10.seconds
     }
