Carry fields that the HTTP library changes past it

A cookie with a leading semicolon lost it, fields named x-http2-* were lost, and a TE field with a quote got 500 and ended the requests behind it.

Cause: the library splits and joins cookies, drops names it uses itself, and fails to read odd lists. Change: such fields pass the library under carried names, and fields of the connection don't reach it at all, but for the wish to close or keep it.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -15,7 +15,7 @@
 import org.zinniahoist.gateway.GatewayProcess
 import org.zinniahoist.gateway.core.ReplicaGroup
 import org.zinniahoist.gateway.dialect.PlatformDialect
-import org.zinniahoist.gateway.framing.OriginalTargets
+import org.zinniahoist.gateway.framing.OriginalRequests
 import org.zinniahoist.gateway.framing.RequestFramingHandler
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.link.CoreObserver
@@ -79,7 +79,7 @@
             builder.childChannelPipelineCustomizer { it.addFirst(newFramingHandler()) }
             builder.http1MaxInitialLineLength(LIBRARY_HEAD_BYTES)
             builder.http1MaxHeaderSize(LIBRARY_HEAD_BYTES)
-            builder.serviceUnder("/", OriginalTargets(http))
+            builder.serviceUnder("/", OriginalRequests(http))
         }
         readinessServer = startServer(checkNotNull(settings.readiness)) { builder ->
             builder.service(GatewayMetrics.PATH, metrics.service())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageHead.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageHead.kt
@@ -33,6 +33,10 @@
         fun parseTrailers(text: String): List<MessageField> =
             text.removeSuffix(LINE_END).split(LINE_END).filter { it.isNotEmpty() }.map(::fieldOf)
 
+        /** Returns the elements, in lower case, of the comma-separated lists that are the values of [fields]. */
+        fun elementsOf(fields: List<MessageField>): Set<String> =
+            fields.flatMap { it.value.split(',') }.mapTo(HashSet()) { it.trim(' ', '\t').lowercase() }
+
         private fun fieldOf(line: String): MessageField {
             val colon = line.indexOf(':')
             val name = line.take(maxOf(colon, 0))
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
@@ -12,23 +12,40 @@
     val framing: BodyFraming,
 ) {
     /**
-     * Returns the head for the HTTP library: its target is carried as [CarriedTarget], and without an offer to change
-     * the protocol, which is not accepted.
+     * Returns the head for the HTTP library: its target is a [CarriedTarget], its fields have [CarriedFields] names,
+     * and of the fields that concern the connection only the wish to close it or to keep it is left.
      */
     fun forLibrary(): String {
+        val options = MessageHead.elementsOf(fields.filter { it.isNamed(CONNECTION) })
         val text = StringBuilder("$method ${CarriedTarget.pathOf(target)} $version\r\n")
         for (field in fields) {
-            if (!UPGRADE_FIELDS.any(field::isNamed)) text.append("${field.name}: ${field.value}\r\n")
+            if (mayPass(field, options)) text.append(lineOf(field))
+        }
+        for (option in PASSED_OPTIONS) {
+            if (option in options) text.append("$CONNECTION: $option\r\n")
         }
         return text.append("\r\n").toString()
     }
 
+    private fun mayPass(field: MessageField, connectionOptions: Set<String>): Boolean {
+        val name = field.name.lowercase()
+        return name !in CONNECTION_FIELDS && (name !in connectionOptions || name in FRAMING_FIELDS)
+    }
+
+    private fun lineOf(field: MessageField): String = "${CarriedFields.carriedName(field.name)}: ${field.value}\r\n"
+
     companion object {
         private const val VERSION_PREFIX = "HTTP/"
         private const val HTTP_1_0 = "HTTP/1.0"
         private const val HTTP_1_1 = "HTTP/1.1"
         private const val REQUEST_LINE_PARTS = 3
-        private val UPGRADE_FIELDS = listOf("upgrade", "http2-settings")
+        private const val CONNECTION = "connection"
+        private val PASSED_OPTIONS = listOf("close", "keep-alive")
+        private val CONNECTION_FIELDS =
+            setOf(CONNECTION, "keep-alive", "proxy-connection", "te", "trailer", "upgrade", "http2-settings")
+
+        /** Fields that stay although a client names them as options of its connection. */
+        private val FRAMING_FIELDS = setOf("host", "content-length", "transfer-encoding")
         private val HOST_EXCLUDED = setOf('/', '?', '#', '@', ',', '\\')
 
         /**
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
@@ -4,7 +4,9 @@
 import io.netty.channel.ChannelOutboundHandlerAdapter
 import io.netty.channel.ChannelPromise
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
+import org.zinniahoist.gateway.framing.CarriedFields
 import org.zinniahoist.gateway.framing.CarriedTarget
 import org.zinniahoist.gateway.framing.ResponseFramingHandler
 import java.net.SocketAddress
@@ -35,9 +37,17 @@
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             if (message is HttpRequest) {
                 message.uri = checkNotNull(CarriedTarget.targetOf(message.uri()))
+                restoreFields(message.headers())
                 context.pipeline().get(ResponseFramingHandler::class.java)?.onRequest(message.method().name())
             }
             context.write(message, promise)
         }
+
+        private fun restoreFields(headers: HttpHeaders) {
+            val carried = headers.names().filter(CarriedFields::isCarried)
+            val fields = carried.map { CarriedFields.originalName(it) to headers.getAll(it) }
+            carried.forEach(headers::remove)
+            fields.forEach { (name, values) -> headers.add(name, values) }
+        }
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -16,6 +16,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import org.zinniahoist.gateway.dialect.HeaderNames
+import org.zinniahoist.gateway.framing.CarriedFields
 import org.zinniahoist.gateway.framing.CarriedTarget
 import org.zinniahoist.gateway.framing.MessageFault
 import org.zinniahoist.gateway.framing.ResponseFramingHandler
@@ -67,8 +68,7 @@
         onSent: () -> Unit = {},
     ): HttpResponse {
         require(RequestTarget.isValid(headers.path())) { "a request target that can't be sent" }
-        val sentHeaders = headers.toBuilder().path(CarriedTarget.pathOf(headers.path()))
-        val request = HttpRequest.of(sentHeaders.build(), HttpData.wrap(body))
+        val request = HttpRequest.of(carriedHeaders(headers), HttpData.wrap(body))
         val options = RequestOptions.builder()
             .responseTimeout(timeout.toJavaDuration())
             .maxResponseLength(limits.bodyBytes)
@@ -86,6 +86,15 @@
         return if (context == null) limitedResponse else limitedResponse.consumedOnEventLoop(context)
     }
 
+    /** Returns [headers] in the form that [RequestTargetHandler] sends as they are. */
+    private fun carriedHeaders(headers: RequestHeaders): RequestHeaders {
+        val builder = headers.toBuilder().path(CarriedTarget.pathOf(headers.path()))
+        val changed = headers.names().filter { CarriedFields.isCarried(CarriedFields.carriedName("$it")) }
+        changed.forEach(builder::remove)
+        changed.forEach { builder.add(CarriedFields.carriedName("$it"), headers.getAll(it)) }
+        return builder.build()
+    }
+
     private fun enforceHeaderLimits(response: HttpResponse, limits: ResponseLimits): HttpResponse {
         val informationalCount = AtomicInteger()
         return response
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/OriginalTargetTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/OriginalTargetTest.kt
@@ -106,6 +106,22 @@
         expectThat(sent).contains("x-odd_name!: a;b,,\"c\\", "x-empty: ")
     }
 
+    /** Guards against fields that the HTTP library splits, joins, drops or fails to read. */
+    @Test
+    fun `fields that the HTTP library knows reach the upstream unchanged`() {
+        expectThat(send("/s/h", "cookie: ;a=1;b", "carried-cookie: 1", "x-http2-path: /p", "te: \u00e9\""))
+            .startsWith("HTTP/1.1 200")
+        expectThat(upstream.headers).contains("cookie: ;a=1;b", "carried-cookie: 1", "x-http2-path: /p")
+    }
+
+    /** Guards against fields of one connection that pass to another one. */
+    @Test
+    fun `fields that a client names as options of its connection are left out`() {
+        send("/s/h", "connection: x-hop, keep-alive", "x-hop: 1", "x-kept: 1")
+        expectThat(upstream.headers.filter { it.startsWith("x-hop") || it.startsWith("x-kept") })
+            .containsExactly("x-kept: 1")
+    }
+
     private fun validTarget(random: Random): String =
         "/s/" + List(random.nextInt(12)) { PARTS.random(random) }.joinToString("")
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
@@ -85,7 +85,7 @@
 
         /** Requests with what reaches the library of them; `L3MvYQ` carries the target `/s/a`. */
         private val PROPER_REQUESTS = listOf(
-            "GET /s/a HTTP/1.1\r\nHost: h\r\n\r\n" to "GET /L3MvYQ HTTP/1.1\r\nHost: h\r\n\r\n",
+            "GET /s/a HTTP/1.1\r\nHost: h\r\n\r\n" to "GET /L3MvYQ HTTP/1.1\r\nhost: h\r\n\r\n",
             "\r\nGET /s/a HTTP/1.0\r\n\r\n" to "GET /L3MvYQ HTTP/1.0\r\n\r\n",
             "POST /s/a HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\na\r\n\r\n" to
                 "POST /L3MvYQ HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n\r\na\r\n\r\n",
