--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageFault.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/MessageFault.kt
@@ -11,6 +11,7 @@
 internal enum class MessageFault(val status: Int) {
     START_LINE(400),
     VERSION(505),
+    METHOD(501),
     TARGET(400),
     FIELD(400),
     HOST(400),
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/RequestHead.kt
@@ -39,6 +39,9 @@
         private const val HTTP_1_0 = "HTTP/1.0"
         private const val HTTP_1_1 = "HTTP/1.1"
         private const val REQUEST_LINE_PARTS = 3
+
+        /** Methods that the library can pass on, but for CONNECT, whose target is no path. */
+        private val METHODS = setOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS", "TRACE")
         private const val CONNECTION = "connection"
         private val PASSED_OPTIONS = listOf("close", "keep-alive")
         private val CONNECTION_FIELDS =
@@ -71,6 +74,7 @@
             val fault = when {
                 !FieldSyntax.isName(method) || !version.startsWith(VERSION_PREFIX) -> MessageFault.START_LINE
                 version != HTTP_1_0 && version != HTTP_1_1 -> MessageFault.VERSION
+                method !in METHODS -> MessageFault.METHOD
                 !RequestTarget.isValid(target) -> MessageFault.TARGET
                 else -> null
             }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/framing/RequestFramingHandlerTest.kt
@@ -128,6 +128,8 @@
             FaultyRequest(MessageFault.START_LINE, "GET  /s/a HTTP/1.1\r\nhost: h\r\n\r\n"),
             FaultyRequest(MessageFault.START_LINE, "GET /s/a\r\nhost: h\r\n\r\n"),
             FaultyRequest(MessageFault.START_LINE, "G(T /s/a HTTP/1.1\r\nhost: h\r\n\r\n"),
+            FaultyRequest(MessageFault.METHOD, "FOO /s/a HTTP/1.1\r\nhost: h\r\n\r\n"),
+            FaultyRequest(MessageFault.METHOD, "CONNECT /s/a HTTP/1.1\r\nhost: h\r\n\r\n"),
             FaultyRequest(MessageFault.VERSION, "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
             FaultyRequest(MessageFault.VERSION, "GET /s/a HTTP/1.2\r\nhost: h\r\n\r\n"),
         )
