Give each weight order a connection of its own

The leader could take an order for carried out that the upstream had not accepted.

Cause: orders and reports carry no identifier that the upstream echoes. A late copy of a report's 200 on the same connection passed for the answer to the order, and 200 means that the version is held already. Change: an order is sent on a new connection that ends with its answer.

"a late copy of a report is not the answer to an order" in WeightOrdersTest failed on the code before and passes now.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WeightOrders.kt
@@ -104,7 +104,7 @@
             .set("content-type", "application/json")
             .set(dialect.headers.expectedUpstream, action.upstream.identity.value)
             .build()
-        val answer = calls.whole(action.upstream.endpoint, headers, dialect.order(order), CALL_TIMEOUT)
+        val answer = calls.wholeOnOwnConnection(action.upstream.endpoint, headers, dialect.order(order), CALL_TIMEOUT)
         return when (answer?.status) {
             ACCEPTED -> OrderAnswer.ACCEPTED
             OK -> OrderAnswer.HOLDS_ALREADY
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.client.UnprocessedRequestException
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.HttpData
+import com.linecorp.armeria.common.HttpHeaderNames
 import com.linecorp.armeria.common.HttpMethod
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -14,6 +15,7 @@
 import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CancellationException
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.framing.CarriedFields
@@ -47,6 +49,10 @@
     private val factory: ClientFactory by lazyFactory
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
+    /** Makes calls that use each connection once. */
+    private val singleUseFactory by lazy { newFactory(factory.eventLoopGroup()) }
+    private val singleUseClients = ConcurrentHashMap<Endpoint, WebClient>()
+
     /** Prepares for calls, so that the first one does not have to wait for it. */
     fun prepare() {
         factory.eventLoopGroup()
@@ -65,6 +71,7 @@
         limits: ResponseLimits,
         identifier: String? = null,
         timeout: Duration = Duration.ZERO,
+        client: WebClient = client(endpoint),
         onSent: () -> Unit = {},
     ): HttpResponse {
         require(RequestTarget.isValid(headers.path())) { "a request target that can't be sent" }
@@ -75,7 +82,7 @@
             .build()
         // An invalid request has no context; its response fails with the reason.
         val (context, response) = Clients.newContextCaptor().use { captor ->
-            val response = client(endpoint).execute(request, options)
+            val response = client.execute(request, options)
             captor.getOrNull() to response
         }
         response.whenComplete().handle { _, failure ->
@@ -143,8 +150,9 @@
         body: ByteArray,
         timeout: Duration,
         limits: ResponseLimits = ResponseLimits.CALL,
+        client: WebClient = client(endpoint),
     ): WholeAnswer? = try {
-        val response = open(endpoint, headers, body, limits, timeout = timeout)
+        val response = open(endpoint, headers, body, limits, timeout = timeout, client = client)
         readWhole(response, names.requestIdentifier, headers.get(names.requestIdentifier))
     } catch (cancelled: CancellationException) {
         throw cancelled
@@ -153,6 +161,21 @@
         null
     }
 
+    /**
+     * Like [whole], on a connection of its own: the response can't be a late copy of one to an earlier call, which an
+     * identifier would show if the response had one.
+     */
+    suspend fun wholeOnOwnConnection(
+        endpoint: Endpoint,
+        headers: RequestHeaders,
+        body: ByteArray,
+        timeout: Duration,
+    ): WholeAnswer? {
+        val lastOfConnection = headers.toBuilder().set(HttpHeaderNames.CONNECTION, "close").build()
+        val client = singleUseClients.computeIfAbsent(endpoint) { newClient(it, singleUseFactory) }
+        return whole(endpoint, lastOfConnection, body, timeout, client = client)
+    }
+
     /** Sends a GET request and returns the full response, or null if the call fails or exceeds [timeout]. */
     suspend fun get(
         endpoint: Endpoint,
@@ -180,10 +203,12 @@
         if (lazyFactory.isInitialized()) factory.closeAsync()
     }
 
-    private fun newFactory(): ClientFactory {
+    private fun newFactory(workers: EventLoopGroup? = null): ClientFactory {
         // The shutdown hook of Armeria would close connections to upstreams while requests in flight drain.
         ClientFactory.disableShutdownHook()
-        return ClientFactory.builder()
+        val builder = ClientFactory.builder()
+        workers?.let { builder.workerGroup(it, false) }
+        return builder
             .connectTimeout(CONNECT_TIMEOUT)
             .idleTimeout(IDLE_TIMEOUT)
             .useHttp2Preface(false)
@@ -203,13 +228,13 @@
             .build()
     }
 
-    private fun client(endpoint: Endpoint): WebClient = clients.computeIfAbsent(endpoint) {
-        WebClient.builder("h1c://$endpoint")
-            .factory(factory)
-            .responseTimeoutMillis(0)
-            .writeTimeoutMillis(0)
-            .build()
-    }
+    private fun client(endpoint: Endpoint): WebClient = clients.computeIfAbsent(endpoint) { newClient(it, factory) }
+
+    private fun newClient(endpoint: Endpoint, factory: ClientFactory): WebClient = WebClient.builder("h1c://$endpoint")
+        .factory(factory)
+        .responseTimeoutMillis(0)
+        .writeTimeoutMillis(0)
+        .build()
 
     companion object {
         private val logger = KotlinLogging.logger {}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.FencingToken
@@ -27,6 +28,7 @@
 import strikt.assertions.contains
 import strikt.assertions.containsExactly
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
@@ -65,7 +67,10 @@
     /** Orders a weight load, and runs [afterConfirmation] between the leadership check and the order. */
     private fun order(afterConfirmation: (WeightOrders) -> Unit) {
         server.start().join()
-        val endpoint = Endpoint("127.0.0.1", server.activeLocalPort())
+        order(Endpoint("127.0.0.1", server.activeLocalPort()), afterConfirmation)
+    }
+
+    private fun order(endpoint: Endpoint, afterConfirmation: (WeightOrders) -> Unit) {
         val dialect = StubDialect(UpstreamReport(mapOf(MODEL to WeightVersion(1)), isBusy = false, acceptedOrders = 0))
         lateinit var orders: WeightOrders
         val confirm: suspend () -> Boolean = { true.also { afterConfirmation(orders) } }
@@ -114,6 +119,21 @@
         expectThat(paths.distinct()).containsExactly(StubDialect.REPORT, StubDialect.ORDER)
     }
 
+    /** Guards against a late copy of a report that passes for the upstream's word that it holds the ordered version. */
+    @Test
+    fun `a late copy of a report is not the answer to an order`() {
+        val received = AtomicInteger()
+        lateinit var upstream: RawUpstream
+        upstream = RawUpstream {
+            val report = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+            val isOrder = received.incrementAndGet() > 1
+            if (!isOrder || upstream.connections == 1) text(report)
+            if (isOrder) text("HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n")
+        }
+        upstream.use { order(it.endpoint) { } }
+        expectThat(metrics.text()).contains("zinniahoist_events_total{event=\"order\",outcome=\"conflict\"} 1.0")
+    }
+
     private companion object {
         val MODEL = ModelName("m")
         val NOW = Moment.ZERO + 60.seconds
