Hold the bodies of requests within one budget

Cause: bodies were counted nowhere, held twice while their pieces were joined, and copied to buffers in one step when sent. Change: bodies of requests and responses share a budget. A stated length is reserved before the first byte is read, other bodies piece by piece; what finds no room gets 503 at once, not run, and what is not sent in time 408. Pieces are kept as they arrive and sent one after the other.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -6,6 +6,7 @@
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.ItemRun
+import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.ResponseLimits
 import org.zinniahoist.gateway.upstream.RunObserver
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -85,7 +86,14 @@
         val limits = ResponseLimits.item(item.tokens)
         val headers = headers(record.job, item, action)
         val endpoint = action.upstream.endpoint
-        val response = calls.open(endpoint, headers, item.body, limits, identifier, onSent = observer::onSent)
+        val response = calls.open(
+            endpoint,
+            headers,
+            RequestBody.of(item.body),
+            limits,
+            identifier,
+            onSent = observer::onSent,
+        )
         return ItemRun(headerNames, identifier, observer, limits, response)
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
@@ -13,6 +13,7 @@
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
+import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -52,7 +53,7 @@
             onEnd(RewardCallEnd.NotSent)
             return
         }
-        val content = RequestContent(HttpMethod.POST.name, request.host, request.path, request.body)
+        val content = RequestContent(HttpMethod.POST.name, request.host, request.path, RequestBody.of(request.body))
         if (crashes.refusalReason(content) != null) {
             onEnd(RewardCallEnd.Blocked)
             return
@@ -78,7 +79,7 @@
         val response = calls.open(
             action.upstream.endpoint,
             headers(action, request),
-            request.body,
+            RequestBody.of(request.body),
             ResponseLimits.CALL,
             identifier,
             action.timeout,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -12,7 +12,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
 import org.zinniahoist.gateway.dialect.ClientCall
 import org.zinniahoist.gateway.dialect.PlatformDialect
@@ -21,7 +20,7 @@
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
-import org.zinniahoist.gateway.upstream.ResponseMemory
+import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.model.Moment
@@ -50,7 +49,7 @@
     private val scope: CoroutineScope,
     private val clock: () -> Moment,
     private val metrics: GatewayMetrics,
-    private val memory: ResponseMemory,
+    private val memory: EntryMemory,
     crashes: CrashGuard = PermissiveCrashGuard,
     private val random: Random = Random.Default,
 ) : HttpService {
@@ -78,15 +77,14 @@
     override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
         // Counted before the phase is read, so that no uncounted request is forwarded once REFUSING has begun.
         inFlight.incrementAndGet()
-        val reservation = memory.newReservation()
+        val incoming = IncomingRequest(context, request, clock(), DispatchGuard { serviceEnd }, memory)
         context.log().whenComplete().thenRun {
             inFlight.decrementAndGet()
-            reservation.close()
+            incoming.close()
         }
         if (phase != EntryPhase.SERVING) context.initiateConnectionShutdown()
-        val guard = DispatchGuard { serviceEnd }
-        val response = scope.future { respondOrFail(request, reservation, guard) }
-        val pendingRequest = PendingRequest(request, guard, response)
+        val response = scope.future { respondOrFail(incoming) }
+        val pendingRequest = PendingRequest(request, incoming.guard, response)
         open += pendingRequest
         response.whenComplete { _, _ -> open -= pendingRequest }
         val deferred = HttpResponse.of(response)
@@ -105,36 +103,41 @@
         pendingRequest.response.complete(response)
     }
 
-    private suspend fun respondOrFail(
-        request: HttpRequest,
-        reservation: ResponseMemory.Reservation,
-        guard: DispatchGuard,
-    ): HttpResponse = try {
-        route(request, reservation, guard)
+    private suspend fun respondOrFail(incoming: IncomingRequest): HttpResponse = try {
+        val request = incoming.http
+        when (val read = RequestBodyReader.read(request, incoming.body, uploadLimit(request))) {
+            is ReadBody.Whole -> route(incoming, read.body)
+            is ReadBody.NoRoom -> refuseBody(incoming, refusal(request, RefusalCause.NO_MEMORY, "no room for the body"))
+            is ReadBody.Late -> refuseBody(incoming, HttpResponse.of(HttpStatus.REQUEST_TIMEOUT))
+        }
     } catch (cancelled: CancellationException) {
         throw cancelled
     } catch (_: ContentTooLargeException) {
         HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE)
     } catch (failure: Exception) {
-        logger.warn { "event=request-failed path=${request.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
+        logger.warn { "event=request-failed path=${incoming.http.path()} cause=\"${UpstreamCalls.rootOf(failure)}\"" }
         HttpResponse.of(HttpStatus.BAD_GATEWAY)
     }
 
     private fun refuseForShutdown(request: HttpRequest): HttpResponse =
         refusal(request, RefusalCause.STOPPING, "the process is shutting down")
 
-    private suspend fun route(
-        request: HttpRequest,
-        reservation: ResponseMemory.Reservation,
-        guard: DispatchGuard,
-    ): HttpResponse {
-        val arrival = clock()
-        val body = request.aggregate().await().content().array()
+    private fun uploadLimit(request: HttpRequest): Duration =
+        Forwarder.timeBudget(request.headers().get(names.remainingMilliseconds), UPLOAD_TIMEOUT)
+
+    /** Ends the connection after [response], because the rest of the body is not read. */
+    private fun refuseBody(incoming: IncomingRequest, response: HttpResponse): HttpResponse {
+        incoming.context.initiateConnectionShutdown()
+        return response
+    }
+
+    private suspend fun route(incoming: IncomingRequest, body: RequestBody): HttpResponse {
+        val request = incoming.http
         // Checked after the body, whose upload may take long: a request completed in REFUSING must not be forwarded.
         if (phase == EntryPhase.REFUSING) return refuseForShutdown(request)
         val path = RequestTarget.pathOf(request.path())
         dialect.clientCall(request.method().name, path, RequestTarget.queryOf(request.path()))?.let {
-            return handleJobCall(request, it, guard)
+            return handleJobCall(request, it, incoming.guard)
         }
         val table = routes ?: return refusal(request, RefusalCause.NO_CONFIGURATION, "no configuration received")
         val host = request.headers().authority().orEmpty().substringBefore(':')
@@ -145,29 +148,28 @@
         }
         table.limits?.let { RequestLimits.violation(request, body.size, it) }?.let { return HttpResponse.of(it) }
         return when (route.kind) {
-            RouteKind.BATCH -> submit(request, host, path, body, guard)
+            RouteKind.BATCH -> submit(incoming, host, path, body)
 
-            RouteKind.EVENT_STREAM ->
-                stream(request, forwardedRequest(request, body, route, arrival, reservation, guard))
+            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(incoming, body, route))
 
             RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE ->
-                forward(request, forwardedRequest(request, body, route, arrival, reservation, guard), arrival, table)
+                forward(incoming, forwardedRequest(incoming, body, route), table)
         }
     }
 
     private suspend fun forward(
-        request: HttpRequest,
+        incoming: IncomingRequest,
         forwardedRequest: ForwardedRequest,
-        arrival: Moment,
         table: RouteTable,
     ): HttpResponse {
         val forwarded = forwarder.forward(forwardedRequest)
+        val time = clock() - incoming.arrival
         logger.info {
             "event=request request=${forwardedRequest.identifier} route=${forwardedRequest.route.name} " +
-                "revision=${table.revision} outcome=${logText(forwarded)} " +
-                "milliseconds=${(clock() - arrival).inWholeMilliseconds}"
+                "revision=${table.revision} outcome=${forwarded.logText} milliseconds=${time.inWholeMilliseconds}"
         }
-        metrics.onRequest(metricLabel(forwarded), clock() - arrival)
+        metrics.onRequest(forwarded.label, time)
+        val request = incoming.http
         return when (forwarded) {
             is Forwarded.Answer -> respond(forwarded.answer)
             is Forwarded.NotRun -> refusal(request, refusalCause(), forwarded.reason)
@@ -176,20 +178,6 @@
         }
     }
 
-    private fun metricLabel(forwarded: Forwarded): String = when (forwarded) {
-        is Forwarded.Answer -> "answered"
-        is Forwarded.NotRun -> "not_run"
-        is Forwarded.Blocked -> "blocked"
-        is Forwarded.NoAnswer -> "no_answer"
-    }
-
-    private fun logText(forwarded: Forwarded): String = when (forwarded) {
-        is Forwarded.Answer -> forwarded.answer.status.toString()
-        is Forwarded.NotRun -> "not-run reason=\"${forwarded.reason}\""
-        is Forwarded.Blocked -> "blocked reason=\"${forwarded.reason}\""
-        is Forwarded.NoAnswer -> "no-answer reason=\"${forwarded.reason}\""
-    }
-
     private fun respond(answer: WholeAnswer): HttpResponse =
         HttpResponse.of(ForwardedFields.response(answer.headers), HttpData.wrap(answer.body))
 
@@ -204,31 +192,26 @@
     private fun refusalCause(): RefusalCause =
         if (phase == EntryPhase.SERVING) RefusalCause.NO_UPSTREAM else RefusalCause.STOPPING
 
-    private fun forwardedRequest(
-        request: HttpRequest,
-        body: ByteArray,
-        route: Route,
-        arrival: Moment,
-        reservation: ResponseMemory.Reservation,
-        guard: DispatchGuard,
-    ): ForwardedRequest {
-        val headers = request.headers()
-        val budget = Forwarder.timeBudget(headers.get(names.remainingMilliseconds), route.timeout)
+    private fun forwardedRequest(incoming: IncomingRequest, body: RequestBody, route: Route): ForwardedRequest {
+        val headers = incoming.http.headers()
+        val deadline = incoming.arrival + Forwarder.timeBudget(headers.get(names.remainingMilliseconds), route.timeout)
         val identifier = headers.get(names.requestIdentifier)
-        return ForwardedRequest(headers, body, identifier, route, arrival + budget, reservation, guard)
+        return ForwardedRequest(headers, body, identifier, route, deadline, incoming.response, incoming.guard)
     }
 
     private suspend fun submit(
-        request: HttpRequest,
+        incoming: IncomingRequest,
         host: String,
         path: String,
-        body: ByteArray,
-        guard: DispatchGuard,
+        body: RequestBody,
     ): HttpResponse {
+        val request = incoming.http
         val job = request.headers().get(names.requestIdentifier) ?: return HttpResponse.of(HttpStatus.BAD_REQUEST)
         if (request.method() != HttpMethod.POST) return HttpResponse.of(HttpStatus.METHOD_NOT_ALLOWED)
-        if (!guard.tryDispatchToCore()) return refuseForShutdown(request)
-        val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body), SUBMIT_TIMEOUT)
+        val hasRoom = incoming.body.tryReserve(SUBMISSION_COPIES * body.size)
+        if (!hasRoom) return refusal(request, RefusalCause.NO_MEMORY, "no room for the batch job")
+        if (!incoming.guard.tryDispatchToCore()) return refuseForShutdown(request)
+        val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body.toByteArray()), SUBMIT_TIMEOUT)
         metrics.onEvent("job_submission", reply.javaClass.simpleName)
         logger.info { "event=job-submission job=$job bytes=${body.size} reply=${reply::class.simpleName}" }
         return respond(request, reply, success = HttpStatus.ACCEPTED)
@@ -282,6 +265,12 @@
 
         /** Usual maximum time without a leader; a refusal costs a client more than waiting for the new leader. */
         val SUBMIT_TIMEOUT = 2.seconds
+
+        /** Longest time that a client may take to send a body. */
+        val UPLOAD_TIMEOUT = 60.seconds
+
+        /** Copies of a batch job in memory while it is sent: its pieces, the joined body and the encoded call. */
+        const val SUBMISSION_COPIES = 3L
         val CALL_TIMEOUT = 1_400.milliseconds
         const val MAXIMUM_WAIT_MILLISECONDS = 1_000L
         const val MILLISECONDS_PER_SECOND = 1_000.0
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -25,7 +25,6 @@
 import org.zinniahoist.gateway.upstream.ConnectionProbe
 import org.zinniahoist.gateway.upstream.CrashMonitor
 import org.zinniahoist.gateway.upstream.ListReader
-import org.zinniahoist.gateway.upstream.ResponseMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.FailureDomain
@@ -67,7 +66,7 @@
         leaving,
     )
     private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
-    private val memory = ResponseMemory(Runtime.getRuntime().maxMemory() / HEAP_DIVISOR)
+    private val memory = EntryMemory(Runtime.getRuntime().maxMemory())
     private val crashes =
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { core.report(it.toReport(clock())) }
     private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory, crashes)
@@ -91,7 +90,10 @@
             http.requestsInFlight
         }
         metrics.gauge("zinniahoist_answer_bytes_held", "Bytes of answers that clients do not have yet.") {
-            memory.heldBytes
+            memory.responses.heldBytes
+        }
+        metrics.gauge("zinniahoist_request_bytes_held", "Bytes of bodies of requests without a complete answer.") {
+            memory.requests.heldBytes
         }
         metrics.gauge("zinniahoist_requests_blocked", "Requests refused because upstreams crashed at their runs.") {
             crashes.blockedRequests
@@ -167,9 +169,6 @@
     private companion object {
         val logger = KotlinLogging.logger {}
 
-        /** A response is in memory twice while its chunks are concatenated; half of the heap remains for other uses. */
-        const val HEAP_DIVISOR = 4
-
         /** Longer than any keep-alive time that a configuration guarantees to clients. */
         val IDLE_TIMEOUT = 60.seconds
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -14,6 +14,7 @@
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
+import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
 import org.zinniahoist.gateway.upstream.ResponseMemory
@@ -34,7 +35,7 @@
 /** A client request that is forwarded to an upstream. */
 internal class ForwardedRequest(
     val headers: RequestHeaders,
-    val body: ByteArray,
+    val body: RequestBody,
     val identifier: String?,
     val route: Route,
     val deadline: Moment,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/CrashGuard.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/CrashGuard.kt
@@ -9,14 +9,14 @@
     private val method: String,
     private val authority: String,
     private val target: String,
-    private val body: ByteArray,
+    private val body: RequestBody,
 ) {
     /** Size of the body in bytes. */
     val bodyBytes: Int get() = body.size
 
     /** Identifies the request and its retries; computed once, when it is first needed. */
     val fingerprint: Fingerprint by lazy(LazyThreadSafetyMode.PUBLICATION) {
-        RequestFingerprint.of(method, authority, target, body)
+        RequestFingerprint.of(method, authority, target, body.pieces)
     }
 }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ResponseMemory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ResponseMemory.kt
@@ -9,8 +9,13 @@
 /**
  * Limits the memory for all responses that a process buffers until they are delivered to their clients. Large responses
  * use up to [maximumBytes]; the first [SMALL_ANSWER_BYTES] of each request may use an additional half of that.
+ *
+ * @param heap budget that the bodies of requests draw on as well.
  */
-internal class ResponseMemory(private val maximumBytes: Long) {
+internal class ResponseMemory(
+    private val maximumBytes: Long,
+    private val heap: HeapBudget = HeapBudget(),
+) {
     private val held = AtomicLong()
     private val maximumWithHeadroom = maximumBytes + maximumBytes / 2
 
@@ -35,8 +40,8 @@
         fun reserve(count: Int) {
             val total = held.addAndGet(count.toLong())
             val limit = if (bytes + count > SMALL_ANSWER_BYTES) maximumBytes else maximumWithHeadroom
-            val exceedsLimit = total > limit
-            if (isClosed || exceedsLimit) {
+            val hasRoom = !isClosed && total <= limit && heap.tryTake(COPIES * count)
+            if (!hasRoom) {
                 held.addAndGet(-count.toLong())
                 throw AnswerMemoryException(limit)
             }
@@ -49,6 +54,7 @@
             if (isClosed) return
             bytes -= count
             held.addAndGet(-count)
+            heap.give(COPIES * count)
         }
 
         /** Releases all bytes of the request. */
@@ -57,11 +63,15 @@
             if (isClosed) return
             isClosed = true
             held.addAndGet(-bytes)
+            heap.give(COPIES * bytes)
         }
     }
 
     companion object {
         /** Bytes of each request that may use the headroom, so that large responses don't starve small ones. */
         const val SMALL_ANSWER_BYTES = 64L * 1_024
+
+        /** Copies of a response that are in memory while its chunks are concatenated. */
+        private const val COPIES = 2L
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -67,7 +67,7 @@
     fun open(
         endpoint: Endpoint,
         headers: RequestHeaders,
-        body: ByteArray,
+        body: RequestBody,
         limits: ResponseLimits,
         identifier: String? = null,
         timeout: Duration = Duration.ZERO,
@@ -75,7 +75,7 @@
         onSent: () -> Unit = {},
     ): HttpResponse {
         require(RequestTarget.isValid(headers.path())) { "a request target that can't be sent" }
-        val request = HttpRequest.of(carriedHeaders(headers), HttpData.wrap(body))
+        val request = requestOf(carriedHeaders(headers), body)
         val options = RequestOptions.builder()
             .responseTimeout(timeout.toJavaDuration())
             .maxResponseLength(limits.bodyBytes)
@@ -93,6 +93,16 @@
         return if (context == null) limitedResponse else limitedResponse.consumedOnEventLoop(context)
     }
 
+    /** Returns a request that is written piece by piece, so that only a few pieces are copied to buffers at a time. */
+    private fun requestOf(headers: RequestHeaders, body: RequestBody): HttpRequest {
+        if (body.pieces.size <= 1) return HttpRequest.of(headers, HttpData.wrap(body.toByteArray()))
+        val sized = headers.toBuilder().contentLength(body.size.toLong()).build()
+        val request = HttpRequest.streaming(sized)
+        body.pieces.forEach { request.write(HttpData.wrap(it)) }
+        request.close()
+        return request
+    }
+
     /** Returns [headers] in the form that [RequestTargetHandler] sends as they are. */
     private fun carriedHeaders(headers: RequestHeaders): RequestHeaders {
         val builder = headers.toBuilder().path(CarriedTarget.pathOf(headers.path()))
@@ -152,7 +162,7 @@
         limits: ResponseLimits = ResponseLimits.CALL,
         client: WebClient = client(endpoint),
     ): WholeAnswer? = try {
-        val response = open(endpoint, headers, body, limits, timeout = timeout, client = client)
+        val response = open(endpoint, headers, RequestBody.of(body), limits, timeout = timeout, client = client)
         readWhole(response, names.requestIdentifier, headers.get(names.requestIdentifier))
     } catch (cancelled: CancellationException) {
         throw cancelled
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
@@ -31,6 +31,8 @@
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.ServiceMessage
 import strikt.api.expectThat
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEqualTo
 import strikt.assertions.isFalse
 import strikt.assertions.isTrue
 import strikt.assertions.startsWith
@@ -47,6 +49,8 @@
     private val workers = Executors.newSingleThreadExecutor()
     private val scope = CoroutineScope(SupervisorJob() + Executor(::runBehindGate).asCoroutineDispatcher())
     private val channel = CompletableFuture<Channel>()
+    private val metrics = GatewayMetrics()
+    private val memory = EntryMemory(heapBytes = 4L * BODY_BYTES)
     private val server = start(entry())
 
     private fun runBehindGate(task: Runnable) {
@@ -81,6 +85,44 @@
         }
     }
 
+    /** Guards against bodies that are all read to their end and exhaust the heap together. */
+    @Test
+    fun `a body that finds no room is refused before it is sent`() {
+        gate.complete(Unit)
+        open(head(BODY_BYTES)).use { first ->
+            first.getOutputStream().write(ByteArray(BODY_BYTES / 2))
+            open(head(BODY_BYTES + BODY_BYTES / 2)).use { second -> expectThat(statusOf(second)).isEqualTo(503) }
+            open(head(1) + "a".encodeToByteArray()).use { small -> expectThat(statusOf(small)).isEqualTo(503) }
+            first.getOutputStream().write(ByteArray(BODY_BYTES / 2))
+            expectThat(statusOf(first)).isEqualTo(503)
+        }
+        expectThat(refusals()).containsExactlyInAnyOrder("no_memory", "no_configuration")
+    }
+
+    /** Guards against bodies that stop half-way and hold memory for ever. */
+    @Test
+    fun `a body that is not sent in time is refused`() {
+        gate.complete(Unit)
+        open(head(BODY_BYTES, "x-remaining: 300")).use { expectThat(statusOf(it)).isEqualTo(408) }
+        expectThat(memory.requests.heldBytes).isEqualTo(0)
+    }
+
+    private fun refusals(): List<String> =
+        Regex("event=\"refusal\",outcome=\"(\\w+)\"").findAll(metrics.text()).map { it.groupValues[1] }.toList()
+
+    private fun open(bytes: ByteArray): Socket =
+        Socket("127.0.0.1", server.activeLocalPort()).also { it.getOutputStream().write(bytes) }
+
+    private fun head(bytes: Int, vararg fields: String): ByteArray {
+        val more = fields.joinToString("") { "$it\r\n" }
+        return "POST /s/ HTTP/1.1\r\nhost: h\r\ncontent-length: $bytes\r\n$more\r\n".encodeToByteArray()
+    }
+
+    private fun statusOf(socket: Socket): Int {
+        socket.soTimeout = READ_TIMEOUT_MILLISECONDS
+        return socket.getInputStream().bufferedReader().readLine().split(' ')[1].toInt()
+    }
+
     private fun request(): ByteArray =
         "POST /s/ HTTP/1.1\r\nhost: h\r\ncontent-length: $BODY_BYTES\r\n\r\n".encodeToByteArray() +
             ByteArray(BODY_BYTES)
@@ -107,8 +149,8 @@
             fixture.calls,
             scope,
             fixture.clock,
-            GatewayMetrics(),
-            fixture.memory,
+            metrics,
+            memory,
         )
     }
 
@@ -135,6 +177,8 @@
     }
 
     private companion object {
+        const val READ_TIMEOUT_MILLISECONDS = 5_000
+
         /** Many times the amount of data that may be buffered unread. */
         const val BODY_BYTES = 8 shl 20
     }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -9,6 +9,7 @@
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.upstream.RawAnswer
 import org.zinniahoist.gateway.upstream.RawUpstream
+import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.ResponseMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -67,7 +68,15 @@
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", Names.requestIdentifier, REQUEST)
         val guard = DispatchGuard { null }
         val route = routeOf(kind, target)
-        return ForwardedRequest(headers, ByteArray(1), REQUEST, route, clock() + within, memory.newReservation(), guard)
+        return ForwardedRequest(
+            headers,
+            RequestBody.of(ByteArray(1)),
+            REQUEST,
+            route,
+            clock() + within,
+            memory.newReservation(),
+            guard,
+        )
     }
 
     /** Returns the response headers for the request of this fixture. */
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/ItemRunTest.kt
@@ -33,7 +33,7 @@
         limits: ResponseLimits = ResponseLimits.item(TOKENS),
     ): ItemRun {
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", UpstreamFixture.Names.requestIdentifier, "r1")
-        val response = fixture.calls.open(upstream.endpoint, headers, ByteArray(1), limits, "r1")
+        val response = fixture.calls.open(upstream.endpoint, headers, RequestBody.of(ByteArray(1)), limits, "r1")
         return ItemRun(UpstreamFixture.Names, "r1", observer, limits, response).also { it.start() }
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/PausedReadingTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/PausedReadingTest.kt
@@ -59,7 +59,12 @@
     private fun open(upstream: RawUpstream): Pair<ClientRequestContext, HttpResponse> =
         Clients.newContextCaptor().use { captor ->
             val headers = RequestHeaders.of(HttpMethod.GET, "/")
-            val response = fixture.calls.open(upstream.endpoint, headers, ByteArray(0), ResponseLimits.STREAM)
+            val response = fixture.calls.open(
+                upstream.endpoint,
+                headers,
+                RequestBody.of(ByteArray(0)),
+                ResponseLimits.STREAM,
+            )
             captor.get() to response
         }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/TruncatedResponseTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/TruncatedResponseTest.kt
@@ -89,7 +89,7 @@
         }
         val headers = RequestHeaders.of(HttpMethod.POST, "/s/", UpstreamFixture.Names.requestIdentifier, "r1")
         val limits = ResponseLimits.item(TOKENS)
-        val response = fixture.calls.open(upstream.endpoint, headers, ByteArray(1), limits, "r1")
+        val response = fixture.calls.open(upstream.endpoint, headers, RequestBody.of(ByteArray(1)), limits, "r1")
         ItemRun(UpstreamFixture.Names, "r1", observer, limits, response).start()
         expectThat(runBlocking { withTimeout(TIMEOUT) { observer.ended.await() } }).isA<RunEnd.Broken>()
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
@@ -19,6 +19,9 @@
     /** This process is shutting down, and other processes serve requests. */
     STOPPING,
 
+    /** This process has no memory for the body of the request, until other requests have ended. */
+    NO_MEMORY,
+
     /** Upstreams crashed at earlier runs of the request. */
     CRASHES,
 }
@@ -43,7 +46,7 @@
     public fun after(cause: RefusalCause, remaining: Duration, random: Random): Duration {
         val preferredDelay = when (cause) {
             RefusalCause.NO_CONFIGURATION, RefusalCause.NO_LEADER -> ELECTION_DELAY
-            RefusalCause.NO_UPSTREAM -> NO_UPSTREAM_DELAY
+            RefusalCause.NO_UPSTREAM, RefusalCause.NO_MEMORY -> NO_UPSTREAM_DELAY
             RefusalCause.STOPPING -> MINIMUM_DELAY
             RefusalCause.CRASHES -> CrashTable.RETENTION
         }
