Answer the calls of operators that a stopping core has received

A call that had just arrived at a core was cut off when the core stopped.

Cause: the server for operators closed its connections at once. Change: it waits for calls in progress, at most 0.9 s, the longest that a call takes.

"a core that stops answers the calls that it has received" in CoreStartTest failed before (end of the connection) and passes now.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -111,6 +111,7 @@
             .http(InetSocketAddress(endpoint.host, endpoint.port))
             .maxRequestLength(MAXIMUM_BODY_BYTES)
             .requestTimeoutMillis(0)
+            .gracefulShutdownTimeoutMillis(0, OperatorHttp.ANSWER_TIMEOUT.inWholeMilliseconds)
             .service(GatewayMetrics.PATH, metrics.service())
             .serviceUnder("/", service)
             .build()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
@@ -149,10 +149,10 @@
         }
     }
 
-    private companion object {
-        val logger = KotlinLogging.logger {}
-        val EMPTY = ByteArray(0)
-        val EMPTY_OBJECT = "{}".encodeToByteArray()
+    companion object {
+        private val logger = KotlinLogging.logger {}
+        private val EMPTY = ByteArray(0)
+        private val EMPTY_OBJECT = "{}".encodeToByteArray()
 
         /** Shorter than the one second after which callers try another replica. */
         val ANSWER_TIMEOUT = 900.milliseconds
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
@@ -21,10 +21,14 @@
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
+import strikt.assertions.isNotNull
+import strikt.assertions.startsWith
 import java.net.InetAddress
 import java.net.ServerSocket
+import java.net.Socket
 import java.nio.file.Path
 import java.util.concurrent.atomic.AtomicInteger
+import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
@@ -66,6 +70,24 @@
         second.stop()
     }
 
+    /** Guards against a planned stop that cuts off calls of operators that have just arrived. */
+    @Test
+    fun `a core that stops answers the calls that it has received`() {
+        val core = core(freePort())
+        core.start()
+        await { it.post(CONFIGURE, "1") }
+        Socket(operators.host, operators.port).use { socket ->
+            socket.soTimeout = BOUND.inWholeMilliseconds.toInt()
+            val head = "POST $CONFIGURE HTTP/1.1\r\nhost: h\r\ncontent-length: 1\r\n\r\n"
+            socket.getOutputStream().write(head.encodeToByteArray())
+            val stopping = thread { core.stop() }
+            Thread.sleep(UPLOAD_TIME.inWholeMilliseconds)
+            socket.getOutputStream().write("2".encodeToByteArray())
+            expectThat(socket.getInputStream().bufferedReader().readLine()).isNotNull().startsWith("HTTP/1.1 ")
+            stopping.join()
+        }
+    }
+
     private inner class Dialect : PlatformDialect by StubDialect() {
         override val paths = object : OutboundPaths {
             override val report = StubDialect.REPORT
@@ -113,6 +135,9 @@
         /** Well above the two ticks of 50 ms within which a leader becomes active. */
         val ACTIVATION_TIME = 500.milliseconds
 
+        /** Longer than a core waits before it closes its address for operators. */
+        val UPLOAD_TIME = 400.milliseconds
+
         fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
