Close the factory of single-use connections, and name the writer of requests by what it does

A test shows that a call on a connection of its own leaves the connection to no other call: 4 connections for three orders beside three reports. It holds without this change too; what is mended is that the factory was not closed with the others.

RequestTargetHandler sends fields as well as targets since the framing handlers came, so it is OriginalRequestWriter now.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RequestTargetHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/OriginalRequestWriter.kt
@@ -12,10 +12,10 @@
 import java.net.SocketAddress
 
 /**
- * Sends the target of a request in place of its [CarriedTarget], which passes the HTTP library unchanged. The library
- * encodes characters of targets, and fails targets that upstreams accept.
+ * Sends a request as its caller wrote it, in place of the [CarriedTarget] and the [CarriedFields] that pass the HTTP
+ * library unchanged. The library encodes characters of targets, and fails targets that upstreams accept.
  */
-internal class RequestTargetHandler : ChannelOutboundHandlerAdapter() {
+internal class OriginalRequestWriter : ChannelOutboundHandlerAdapter() {
     override fun connect(
         context: ChannelHandlerContext,
         remote: SocketAddress,
@@ -25,15 +25,15 @@
         // The library adds the codec before the connection attempt reaches this handler.
         val codec = context.pipeline().context(HttpClientCodec::class.java)
         if (codec == null) {
-            promise.setFailure(IllegalStateException("no HTTP codec to send request targets with"))
+            promise.setFailure(IllegalStateException("no HTTP codec to send requests with"))
             return
         }
-        context.pipeline().addAfter(codec.name(), null, TargetWriter())
+        context.pipeline().addAfter(codec.name(), null, Writer())
         context.connect(remote, local, promise)
         context.pipeline().remove(this)
     }
 
-    private class TargetWriter : ChannelOutboundHandlerAdapter() {
+    private class Writer : ChannelOutboundHandlerAdapter() {
         override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
             if (message is HttpRequest) {
                 message.uri = checkNotNull(CarriedTarget.targetOf(message.uri()))
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/UpstreamCalls.kt
@@ -50,7 +50,8 @@
     private val clients = ConcurrentHashMap<Endpoint, WebClient>()
 
     /** Makes calls that use each connection once. */
-    private val singleUseFactory by lazy { newFactory(factory.eventLoopGroup()) }
+    private val lazySingleUseFactory = lazy { newFactory(factory.eventLoopGroup()) }
+    private val singleUseFactory: ClientFactory by lazySingleUseFactory
     private val singleUseClients = ConcurrentHashMap<Endpoint, WebClient>()
 
     /** Prepares for calls, so that the first one does not have to wait for it. */
@@ -103,7 +104,7 @@
         return request
     }
 
-    /** Returns [headers] in the form that [RequestTargetHandler] sends as they are. */
+    /** Returns [headers] in the form that [OriginalRequestWriter] sends as they are. */
     private fun carriedHeaders(headers: RequestHeaders): RequestHeaders {
         val builder = headers.toBuilder().path(CarriedTarget.pathOf(headers.path()))
         val changed = headers.names().filter { CarriedFields.isCarried(CarriedFields.carriedName("$it")) }
@@ -210,6 +211,7 @@
     }
 
     override fun close() {
+        if (lazySingleUseFactory.isInitialized()) singleUseFactory.closeAsync()
         if (lazyFactory.isInitialized()) factory.closeAsync()
     }
 
@@ -231,7 +233,7 @@
                         ConnectionResetHandler(),
                         ResponseFramingHandler(::reportFault),
                         RefusalConnectionHandler(names.notRun),
-                        RequestTargetHandler(),
+                        OriginalRequestWriter(),
                     )
                 },
             )
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/UpstreamCallsTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/upstream/UpstreamCallsTest.kt
@@ -1,5 +1,7 @@
 package org.zinniahoist.gateway.upstream
 
+import com.linecorp.armeria.common.HttpMethod
+import com.linecorp.armeria.common.RequestHeaders
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
@@ -52,6 +54,18 @@
         expectThat(late.written).isLessThan(MAXIMUM_BYTES)
     }
 
+    /** Guards against a late copy of the answer to one order that answers the next one. */
+    @Test
+    fun `a call on a connection of its own leaves it to no other call`(): Unit = runBlocking {
+        val upstream = fixture.rawUpstream { text("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n") }
+        val headers = RequestHeaders.of(HttpMethod.POST, "/order")
+        repeat(3) {
+            get(upstream)
+            fixture.calls.wholeOnOwnConnection(upstream.endpoint, headers, ByteArray(1), timeout = 60.seconds)
+        }
+        expectThat(upstream.connections).isEqualTo(4)
+    }
+
     /** Guards against metrics that do not show which limit was exceeded. */
     @Test
     fun `a response that exceeds a limit is counted by the limited part`(): Unit = runBlocking {
