State the position of committed members, and whether a replica has caught up

A replica now knows the position of its latest committed configuration in the log, and whether it knows as committed whatever its leader did when they were last in contact. Nothing uses them yet.

--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
@@ -109,6 +109,20 @@
     }
 }
 
+/**
+ * A committed configuration with its position in the log.
+ *
+ * The committed configurations of a group are ordered by [index]: of two, the one with the larger index is in force at
+ * least as late as the other one. Replicas may state the same configuration with different indexes, because a
+ * snapshot replaces the entry that contained it.
+ *
+ * @property index index of an entry at which [configuration] was in force; 0 if no configuration is committed.
+ */
+public data class PositionedConfiguration(
+    public val index: Long,
+    public val configuration: Configuration,
+)
+
 /** Membership change requested by an operator. */
 public sealed interface MembershipChange {
     /** Adds a replica as a learner. The leader promotes it to voter once it has caught up. */
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStatus.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStatus.kt
@@ -9,6 +9,8 @@
  * @property configuration the latest configuration in the log, committed or not.
  * @property isConfigurationCommitted true once [configuration] is known to be committed, so that the group can't revert
  * to the previous one.
+ * @property committed the latest configuration that is known to be committed.
+ * @property isCaughtUp true if the replica knows as committed whatever its leader did when they were last in contact.
  * @property failure cause for which the replica has stopped, or null while it runs.
  * @property log memory use of the log.
  */
@@ -21,6 +23,8 @@
     public val lastIndex: Long,
     public val configuration: Configuration,
     public val isConfigurationCommitted: Boolean,
+    public val committed: PositionedConfiguration,
+    public val isCaughtUp: Boolean,
     public val failure: String?,
     public val log: LogSize = LogSize(),
 )
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -36,6 +36,9 @@
     private var leader: Leader? = null
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
+
+    /** Largest commit index that a leader has stated. */
+    private var leaderCommitIndex = 0L
     private var lastJoinRequest: Moment = now
     private var joinTargets = options.memberInstances
 
@@ -75,6 +78,19 @@
     /** True once [configuration] is known to be committed. */
     public val isConfigurationCommitted: Boolean get() = context.log.configurationIndex <= context.commitIndex
 
+    /** The latest configuration that is known to be committed. */
+    public val committedConfiguration: PositionedConfiguration
+        get() = context.log.positionedConfigurationAt(context.commitIndex)
+
+    /**
+     * True if this replica knows as committed whatever its leader did when they were last in contact. False while it
+     * replays the log or catches up, and before the leader has committed an entry of its term.
+     */
+    public val isCaughtUp: Boolean
+        get() = leaderAddress != null &&
+            context.log.term(context.commitIndex) == term &&
+            context.commitIndex >= leaderCommitIndex
+
     /** True while committed entries are not yet applied; the next [step] applies more of them, even without events. */
     public val hasUnapplied: Boolean get() = context.appliedIndex < context.commitIndex
 
@@ -201,6 +217,7 @@
 
             is AppendRequest -> {
                 onLeaderContact(from)
+                leaderCommitIndex = maxOf(leaderCommitIndex, content.commitIndex)
                 follower.onAppend(from, content)
             }
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaLog.kt
@@ -48,6 +48,10 @@
         else -> this[index].term
     }
 
+    /** Returns the configuration in force at [index], and the index of an entry at which it was in force as well. */
+    fun positionedConfigurationAt(index: Long): PositionedConfiguration =
+        configurations.last { it.first <= index }.let { (position, value) -> PositionedConfiguration(position, value) }
+
     fun configurationAt(index: Long): Configuration = configurations.last { it.first <= index }.second
 
     /** Returns the configuration in force at [index], followed by all later ones. */
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
@@ -72,7 +72,8 @@
     fun status(now: Moment): GroupStatus {
         val status = latestStatus
         val isStalled = now - lastBatchAt > dependencies.options.electionTimeout
-        return if (status.isLeader && isStalled) status.copy(isLeader = false, leader = null) else status
+        if (!status.isLeader || !isStalled) return status
+        return status.copy(isLeader = false, leader = null, isCaughtUp = false)
     }
 
     /** Queues [event], or discards it if the replica has stopped. */
@@ -267,6 +268,8 @@
             lastIndex = replica.lastIndex,
             configuration = replica.configuration,
             isConfigurationCommitted = replica.isConfigurationCommitted,
+            committed = replica.committedConfiguration,
+            isCaughtUp = failure == null && replica.isCaughtUp,
             failure = failure,
             log = replica.logSize,
         )
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -33,12 +33,20 @@
         public val reply: ServiceReply,
     ) : ServiceMessage
 
-    /** Announces the replicas of the group and its leader. */
+    /**
+     * Announces the replicas of the group and its leader. Announcements of different replicas may arrive in any order.
+     *
+     * @property index position of the members in the log. A receiver ignores members with a smaller index than those it
+     * knows.
+     * @property term term of [leader]. A receiver ignores the leader of an earlier term.
+     */
     @Serializable
     @SerialName("service-members")
     public data class Members(
         public val members: List<InstanceName>,
         public val leader: InstanceName?,
+        public val index: Long = 0,
+        public val term: Long = 0,
     ) : ServiceMessage
 
     /** Announces the machine of the operator's list on which the sender runs. */
