Announce members only from replicas that have caught up with their leader

A replica that joins in place of another one replays the whole log, and announced each configuration that it found there as soon as it knew a leader: first of all the members of the first start, which may all be gone. Between replicas, the list that arrived last counted, whoever sent it. An announcement that found a full queue was lost until the next change.

MembersPublisher announces the committed members with their position, and only while the replica has caught up with its leader. Otherwise it forwards to entries the newest members that another replica announced, by position. What could not be queued is repeated at the next tick.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -9,7 +9,6 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Revision
-import org.zinniahoist.model.Role
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.wire.ControlMessage
 import org.zinniahoist.wire.LinkCloseCause
@@ -39,12 +38,7 @@
     private val machines = ConcurrentHashMap<String, InstanceName>(mapOf(machineName to self))
     private val peers = PeerLinks(hello, Outbound(), clock, onRefused = { host.reportStopped(it) })
 
-    @Volatile
-    private var lastMembers = KnownMembers(ServiceMessage.Members(emptyList(), leader = null), hasLeader = false)
-
-    /** The latest member list that another replica sent, and the link that delivered it. */
-    @Volatile
-    private var receivedMembers: Pair<LinkConnection, ServiceMessage.Members>? = null
+    private val members = MembersPublisher()
 
     /** Publishes the platform's upstream list to the entries. */
     val upstreams = UpstreamPublisher()
@@ -72,31 +66,19 @@
         link.offer(ControlMessage.ReplicaTraffic(ReplicaGroup.NAME, StateCodec.encode(message)))
     }
 
-    /** The members that a replica in contact with the leader reported; null once the link to that replica closes. */
-    val reportedMembers: ServiceMessage.Members? get() = receivedMembers?.second
+    /** The newest members that another replica announced on an open link, or null. */
+    val reportedMembers: ServiceMessage.Members? get() = members.reported
+
+    /** Position in the log of the members that this replica announces; 0 unless it has caught up with its leader. */
+    val announcedIndex: Long get() = members.announcedIndex
 
     /**
-     * Maintains links to the other [replicas] and sends the member list on all links: [own] if this replica has a
-     * leader, otherwise the list that another replica reported. Without a leader, its own log may list former members,
-     * because the replica may have been replaced while it was disconnected.
+     * Maintains links to the other [replicas] and announces the members: [own] if it names a leader, otherwise the
+     * newest ones that another replica announced.
      */
     fun update(replicas: Set<InstanceName>, own: ServiceMessage.Members) {
         peers.keep(replicas - self)
-        val hasLeader = own.leader != null
-        val current = KnownMembers(if (hasLeader) own else reportedMembers ?: own, hasLeader)
-        if (current == lastMembers) return
-        lastMembers = current
-        logger.info {
-            "event=members members=${current.members.members.joinToString(",")} leader=${current.members.leader}"
-        }
-        (inbound + peers.links).forEach(::sendMembers)
-    }
-
-    /** Sends the members to entries; to replicas only if this one has a leader, as its list may be stale otherwise. */
-    private fun sendMembers(link: LinkConnection) {
-        val current = lastMembers
-        val isRecipient = current.hasLeader || Role.ENTRY in link.peer.roles
-        if (isRecipient && current.members.leader != null) link.offer(current.members)
+        members.update(own)
     }
 
     /** Notifies all inbound links that this replica has applied configuration [revision]. */
@@ -105,7 +87,7 @@
     override fun onOpen(link: LinkConnection) {
         inbound += link
         responder.onOpen(link)
-        sendMembers(link)
+        members.onOpen(link)
         upstreams.onOpen(link)
         crashes.onOpen(link)
     }
@@ -113,7 +95,7 @@
     override suspend fun onMessage(link: LinkConnection, message: Message) {
         when (message) {
             is ControlMessage.ReplicaTraffic -> receive(message)
-            is ServiceMessage.Members -> receivedMembers = link to message
+            is ServiceMessage.Members -> members.onMembers(link, message)
             is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
             is ServiceMessage.Crashes -> crashes.onReport(link, message)
             is ServiceMessage.Call -> responder.begin(link, message)?.let { scope.launch { responder.answer(it) } }
@@ -134,11 +116,7 @@
         responder.onClosed(link)
         upstreams.onClosed(link)
         crashes.onClosed(link)
-        forget(link)
-    }
-
-    private fun forget(link: LinkConnection) {
-        if (receivedMembers?.first === link) receivedMembers = null
+        members.onClosed(link)
     }
 
     fun close(): Unit = peers.close()
@@ -146,27 +124,21 @@
     private inner class Outbound : LinkHandler {
         override fun onOpen(link: LinkConnection) {
             link.offer(ServiceMessage.Machine(machineName))
-            sendMembers(link)
+            members.onOpen(link)
         }
 
         override suspend fun onMessage(link: LinkConnection, message: Message) {
             when (message) {
                 is ControlMessage.ReplicaTraffic -> receive(message)
-                is ServiceMessage.Members -> receivedMembers = link to message
+                is ServiceMessage.Members -> members.onMembers(link, message)
                 is ServiceMessage.Crashes -> crashes.onReport(link, message)
                 else -> Unit
             }
         }
 
-        override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = forget(link)
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = members.onClosed(link)
     }
 
-    /** Members of the group, and whether this replica is in contact with their leader. */
-    private data class KnownMembers(
-        val members: ServiceMessage.Members,
-        val hasLeader: Boolean,
-    )
-
     private companion object {
         val logger = KotlinLogging.logger {}
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -76,7 +76,7 @@
         Endpoint(settings.address, settings.linkPort),
         hello,
         links,
-        { HeartbeatContent(settingsRevision = machine.configuration?.revision ?: Revision.NONE) },
+        ::heartbeat,
         clock,
         PeerLinks.LIMITS,
     )
@@ -159,6 +159,11 @@
         )
     }
 
+    private fun heartbeat() = HeartbeatContent(
+        settingsRevision = machine.configuration?.revision ?: Revision.NONE,
+        membersIndex = links.announcedIndex,
+    )
+
     private fun retiring() = machine.retirements.values.map { it.instance }.toSet()
 
     override fun onConfiguration(configuration: StoredConfiguration) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
@@ -27,6 +27,14 @@
         val introduction = known to retiring
         if (introduction != lastIntroduction) host.introduce(known, retiring)
         lastIntroduction = introduction
-        links.update(known, ServiceMessage.Members(own, status.leader))
+        links.update(known, announcementOf(status))
+    }
+
+    /** Returns the committed members, with the leader only if this replica has caught up with it. */
+    private fun announcementOf(status: GroupStatus): ServiceMessage.Members {
+        val (index, configuration) = status.committed
+        val leader = status.leader.takeIf { status.isCaughtUp }
+        val instances = configuration.members.map { it.address.instance }.distinct()
+        return ServiceMessage.Members(instances, leader, index, status.term)
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -16,6 +16,7 @@
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
+import strikt.assertions.isEqualTo
 
 class NamedMembersTest {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -76,4 +77,32 @@
         links.update(emptySet(), ServiceMessage.Members(former, leader = null))
         expectThat(RecordedLink("e2", Role.ENTRY).also(links::onOpen).offered).isEmpty()
     }
+
+    /** Guards against a replica that joins through former members, which a replica that was cut off announced last. */
+    @Test
+    fun `the newest of the reported members counts, whichever link delivered it last`() {
+        val newest = ServiceMessage.Members(listOf(InstanceName("127.0.0.1:4")), InstanceName("127.0.0.1:4"), index = 9)
+        val older = ServiceMessage.Members(former, former.last(), index = 3)
+        val members = List(2) { RecordedLink("127.0.0.1:${it + 4}", Role.CONTROL).also(links::onOpen) }
+        runBlocking {
+            links.onMessage(members[0], newest)
+            links.onMessage(members[0], older)
+            links.onMessage(members[1], older)
+        }
+        expectThat(links.reportedMembers).isEqualTo(newest)
+        links.onClosed(members[0], LinkCloseCause.Silent)
+        expectThat(links.reportedMembers).isEqualTo(older)
+    }
+
+    /** Guards against an entry that never hears of a change because its queue was full at that moment. */
+    @Test
+    fun `an announcement that was not queued is repeated`() {
+        val known = ServiceMessage.Members(former, leader = former.last())
+        val entry = RecordedLink("e1", Role.ENTRY).also(links::onOpen)
+        entry.isFull = true
+        links.update(emptySet(), known)
+        entry.isFull = false
+        repeat(2) { links.update(emptySet(), known) }
+        expectThat(entry.offered).containsExactly(known)
+    }
 }
