Keep entries from going back to former members

An entry believed the list of members that arrived last, from any replica, and closed its links to all others at once. After a list of former members it had no link left, dialled machines that were gone, and served under its last configuration for ever: routes added later got 404.

GroupView orders what an entry knows of the group: members by their position in the log, leaders by their term. Hints of replicas, which have no order, only fill a gap. An open link to a former member is kept. An entry that has heard no replica that has caught up with its leader for 3 s dials all replicas that it has known, 64 at most, until it hears one, so that a cut in which all known members and seeds were replaced leaves it a way back (shown for the decision by GroupViewTest, not in a run).

It says so: lines group-lost and group-found, and the gauges zinniahoist_group_contact_age_seconds and zinniahoist_group_links. Neither logs nor metrics told before that an entry was alone.

FormerMembersTest "an entry keeps its replicas when one that replays its log announces former members" fails on the code before (x86_64): the entry never receives the next configuration.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -47,6 +47,7 @@
 import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
+import kotlin.time.DurationUnit
 
 /** Runs the role `entry`, which serves client requests. */
 internal class EntryProcess(
@@ -98,6 +99,13 @@
         metrics.gauge("zinniahoist_requests_blocked", "Requests refused because upstreams crashed at their runs.") {
             crashes.blockedRequests
         }
+        metrics.gauge(
+            "zinniahoist_group_contact_age_seconds",
+            "Time since the service group was in contact, in seconds.",
+        ) {
+            core.contactAge.toDouble(DurationUnit.SECONDS)
+        }
+        metrics.gauge("zinniahoist_group_links", "Open links to replicas of the service group.") { core.openLinks }
         core.start()
         scope.launch { calls.prepare() }
         scope.launch { directory.refreshPeriodically() }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -37,7 +37,7 @@
 
 /** Client of the service group: tracks its replicas, subscribes to their configuration and calls their leader. */
 public class CoreClient(
-    private val seeds: Set<InstanceName>,
+    seeds: Set<InstanceName>,
     hello: LinkMessage.Hello,
     private val observer: CoreObserver,
     private val scope: CoroutineScope,
@@ -47,11 +47,10 @@
     private val calls = ServiceCalls(clock)
     private val links = PeerLinks(hello, this, clock)
 
-    @Volatile
-    private var members: Set<InstanceName> = emptySet()
+    private val group = GroupView(seeds, clock())
 
     @Volatile
-    private var leader: InstanceName? = null
+    private var isIsolated = false
 
     @Volatile
     private var revision = Revision.NONE
@@ -67,10 +66,23 @@
     public var isSynchronized: Boolean = false
         private set
 
+    /** Time since a replica that has caught up with its leader was in contact, or since the start. */
+    public val contactAge: Duration get() = group.contactAge(clock())
+
+    /** Number of replicas with an open link. */
+    public val openLinks: Int get() = links.connected.size
+
     /** Starts connecting and fetching the active configuration. */
     public fun start() {
-        links.keep(seeds)
+        keepLinks()
         scope.launch { fetchNewestConfiguration() }
+        scope.launch { keepLinksPeriodically() }
+    }
+
+    /** Uses [seeds], which the changed settings list, in place of the former ones. */
+    public fun useSeeds(seeds: Set<InstanceName>) {
+        group.useSeeds(seeds)
+        keepLinks()
     }
 
     override fun close(): Unit = links.close()
@@ -101,24 +113,35 @@
             when (reply) {
                 null -> failure = ServiceReply.OutcomeUnknown("no reply from $target")
                 is ServiceReply.OutcomeUnknown -> failure = reply
-                is ServiceReply.NotLeader -> leader = reply.leader?.takeIf { it != target && it !in excluded }
+                is ServiceReply.NotLeader -> Unit
                 is ServiceReply.Unavailable -> Unit
                 else -> return reply
             }
-            if (reply !is ServiceReply.NotLeader && leader == target) leader = null
+            group.onNotLeading(target)
+            if (reply is ServiceReply.NotLeader) {
+                reply.leader?.takeIf {
+                    it != target && it !in excluded
+                }?.let(group::onHint)
+            }
             excluded = excluded + target
         }
     }
 
     /** Returns limits that abandon the call if [target] is silent or another replica becomes the leader. */
     private fun limits(remaining: Duration, target: InstanceName): CallLimits {
-        val known = leader
-        return CallLimits(remaining, CALL_SILENCE_LIMIT) { leader.let { it != null && it != known && it != target } }
+        val known = group.leader
+        return CallLimits(remaining, CALL_SILENCE_LIMIT) {
+            group.leader.let { it != null && it != known && it != target }
+        }
     }
 
+    /** Returns the replica to call: the known leader if possible, otherwise members before other replicas. */
     private fun target(excluded: Set<InstanceName>): InstanceName? {
-        val known = leader?.takeIf { it !in excluded && it in links.connected }
-        return known ?: links.connected.firstOrNull { it !in excluded }
+        val candidates = links.connected - excluded
+        val members = group.members
+        return group.leader?.takeIf { it in candidates }
+            ?: candidates.find { it in members }
+            ?: candidates.firstOrNull()
     }
 
     private suspend fun fetchNewestConfiguration() {
@@ -142,7 +165,9 @@
 
     /** Queues [message] for the leader, if it is known, and other replicas: [REPORT_RECIPIENTS] altogether. */
     public fun report(message: ServiceMessage) {
-        val recipients = (listOfNotNull(leader) + links.connected).distinct().mapNotNull(links::link)
+        val members = group.members
+        val replicas = listOfNotNull(group.leader) + links.connected.sortedByDescending { it in members }
+        val recipients = replicas.distinct().mapNotNull(links::link)
         recipients.take(REPORT_RECIPIENTS).forEach { it.offer(message) }
     }
 
@@ -151,7 +176,7 @@
             is ServiceMessage.Reply -> calls.onReply(message)
             is ServiceMessage.Members -> onMembers(message)
             is ServiceMessage.Configured -> fetchIfNewer(link, message.revision)
-            is LinkMessage.Heartbeat -> fetchIfNewer(link, message.settingsRevision)
+            is LinkMessage.Heartbeat -> onHeartbeat(link, message)
             is ServiceMessage.Upstreams -> observer.onUpstreams(message.entries)
             is ServiceMessage.Crashes -> observer.onCrashes(message)
             else -> Unit
@@ -161,13 +186,39 @@
     override fun onClosed(link: LinkConnection, cause: LinkCloseCause): Unit = calls.onClosed(link)
 
     private fun onMembers(message: ServiceMessage.Members) {
-        if (message.leader != null) leader = message.leader
-        if (message.members.isEmpty()) return
-        val named = message.members.toSet()
-        if (named == members) return
-        members = named
-        links.keep(named + seeds)
-        logger.info { "event=members-known members=${named.joinToString(",")} leader=${message.leader}" }
+        if (!group.onMembers(message, clock())) return
+        logger.info {
+            "event=members-known members=${message.members.joinToString(",")} leader=${message.leader} " +
+                "index=${message.index} term=${message.term}"
+        }
+        keepLinks()
+    }
+
+    private fun onHeartbeat(link: LinkConnection, heartbeat: LinkMessage.Heartbeat) {
+        group.onHeartbeat(heartbeat.membersIndex, clock())
+        fetchIfNewer(link, heartbeat.settingsRevision)
+    }
+
+    private fun keepLinks() = links.keep(group.targets(links.connected, clock()))
+
+    private suspend fun keepLinksPeriodically() {
+        while (true) {
+            delay(LINK_CHECK_INTERVAL)
+            reportIsolation()
+            keepLinks()
+        }
+    }
+
+    private fun reportIsolation() {
+        val isIsolatedNow = group.isIsolated(clock())
+        if (isIsolatedNow == isIsolated) return
+        isIsolated = isIsolatedNow
+        val connected = links.connected.joinToString(",")
+        if (isIsolatedNow) {
+            logger.warn { "event=group-lost contact-age=$contactAge links=$connected revision=$revision" }
+        } else {
+            logger.info { "event=group-found links=$connected revision=$revision" }
+        }
     }
 
     /**
@@ -230,6 +281,9 @@
         val CALL_SILENCE_LIMIT = 700.milliseconds
         val FETCH_TIMEOUT = 1.seconds
 
+        /** A fraction of the time after which a process without contact tries all replicas that it knows. */
+        val LINK_CHECK_INTERVAL = 500.milliseconds
+
         /** A report reaches all processes although one of its recipients fails. */
         const val REPORT_RECIPIENTS = 2
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -31,13 +31,15 @@
 ) : AutoCloseable {
     private val clients = ConcurrentHashMap<InstanceName, LinkClient>()
     private val open = ConcurrentHashMap<InstanceName, LinkConnection>()
+    private var isClosed = false
 
     /** Names of the replicas with an open link. */
     public val connected: Set<InstanceName> get() = open.keys
 
-    /** Opens links to the replicas in [wanted] and closes all others. */
+    /** Opens links to the replicas in [wanted] and closes all others. Does nothing after [close]. */
     @Synchronized
     public fun keep(wanted: Set<InstanceName>) {
+        if (isClosed) return
         for (instance in wanted - clients.keys) connect(instance)
         for (instance in clients.keys - wanted) {
             clients.remove(instance)?.close()
@@ -67,6 +69,7 @@
 
     @Synchronized
     override fun close() {
+        isClosed = true
         clients.values.forEach { it.close() }
         clients.clear()
         open.clear()
