--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Configuration.kt
@@ -112,9 +112,8 @@
 /**
  * A committed configuration with its position in the log.
  *
- * The committed configurations of a group are ordered by [index]: of two, the one with the larger index is in force at
- * least as late as the other one. Replicas may state the same configuration with different indexes, because a
- * snapshot replaces the entry that contained it.
+ * Of two different configurations, the one with the larger [index] is the newer one. Replicas may state the same
+ * configuration with different indexes, because a snapshot replaces the entry that contained it.
  *
  * @property index index of an entry at which [configuration] was in force; 0 if no configuration is committed.
  */
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/Replica.kt
@@ -37,8 +37,8 @@
     private var leaderAddress: ReplicaAddress? = null
     private var lastLeaderContact: Moment? = null
 
-    /** Largest commit index that a leader has stated. */
-    private var leaderCommitIndex = 0L
+    /** Largest commit index that a leader has stated; null until it sends entries after a snapshot. */
+    private var leaderCommitIndex: Long? = null
     private var lastJoinRequest: Moment = now
     private var joinTargets = options.memberInstances
 
@@ -87,9 +87,10 @@
      * replays the log or catches up, and before the leader has committed an entry of its term.
      */
     public val isCaughtUp: Boolean
-        get() = leaderAddress != null &&
-            context.log.term(context.commitIndex) == term &&
-            context.commitIndex >= leaderCommitIndex
+        get() = leaderAddress != null && context.log.term(context.commitIndex) == term && knowsLeaderCommits
+
+    private val knowsLeaderCommits: Boolean
+        get() = isLeader || leaderCommitIndex?.let { context.commitIndex >= it } == true
 
     /** True while committed entries are not yet applied; the next [step] applies more of them, even without events. */
     public val hasUnapplied: Boolean get() = context.appliedIndex < context.commitIndex
@@ -217,12 +218,13 @@
 
             is AppendRequest -> {
                 onLeaderContact(from)
-                leaderCommitIndex = maxOf(leaderCommitIndex, content.commitIndex)
+                leaderCommitIndex = maxOf(leaderCommitIndex ?: 0, content.commitIndex)
                 follower.onAppend(from, content)
             }
 
             is SnapshotRequest -> {
                 onLeaderContact(from)
+                leaderCommitIndex = null
                 follower.onSnapshot(from, content)
             }
 
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/ReplicaWorker.kt
@@ -66,14 +66,14 @@
     val waiting: QueuedEvents get() = QueuedEvents(queue.size, queuedMessageBytes.get())
 
     /**
-     * Returns the status at [now]. A leader that has processed no events for longer than the election timeout is
-     * reported as not leading.
+     * Returns the status at [now]. A replica that has processed no events for longer than the election timeout is
+     * reported as neither leading nor caught up.
      */
     fun status(now: Moment): GroupStatus {
         val status = latestStatus
         val isStalled = now - lastBatchAt > dependencies.options.electionTimeout
-        if (!status.isLeader || !isStalled) return status
-        return status.copy(isLeader = false, leader = null, isCaughtUp = false)
+        if (!isStalled) return status
+        return status.copy(isLeader = false, leader = status.leader.takeIf { !status.isLeader }, isCaughtUp = false)
     }
 
     /** Queues [event], or discards it if the replica has stopped. */
--- a/consensus/src/test/kotlin/org/zinniahoist/consensus/CaughtUpReplicaTest.kt
+++ b/consensus/src/test/kotlin/org/zinniahoist/consensus/CaughtUpReplicaTest.kt
@@ -8,7 +8,7 @@
 import strikt.assertions.isTrue
 
 internal class CaughtUpReplicaTest : ReplicaFixture() {
-    private val grown = Configuration(configuration.members.drop(1))
+    private val changed = Configuration(configuration.members.drop(1))
 
     private fun append(previous: Long, entries: List<LogEntry>, commitIndex: Long) =
         AppendRequest(previous, previousTerm = 1, entries, commitIndex, round = 0)
@@ -21,10 +21,10 @@
         replica.receive(1, append(previous = 1, listOf(LogEntry(2, 1, 1_000)), commitIndex = 4), term = 1)
         expectThat(replica.isCaughtUp).isFalse()
         expectThat(replica.committedConfiguration).isEqualTo(PositionedConfiguration(1, configuration))
-        val rest = listOf(LogEntry(3, 1, 1_000, null, grown), LogEntry(4, 1, 1_000))
+        val rest = listOf(LogEntry(3, 1, 1_000, null, changed), LogEntry(4, 1, 1_000))
         replica.receive(1, append(previous = 2, rest, commitIndex = 4), term = 1)
         expectThat(replica.isCaughtUp).isTrue()
-        expectThat(replica.committedConfiguration).isEqualTo(PositionedConfiguration(3, grown))
+        expectThat(replica.committedConfiguration).isEqualTo(PositionedConfiguration(3, changed))
     }
 
     /** Guards against a new leader and followers that state as committed only what they knew before the election. */
@@ -43,8 +43,24 @@
     @Test
     fun `the committed configuration is not the latest one while that one is uncommitted`() {
         val replica = replica(first)
-        replica.receive(1, append(previous = 1, listOf(LogEntry(2, 1, 1_000, null, grown)), commitIndex = 1), term = 1)
-        expectThat(replica.configuration).isEqualTo(grown)
+        replica.receive(
+            1,
+            append(previous = 1, listOf(LogEntry(2, 1, 1_000, null, changed)), commitIndex = 1),
+            term = 1,
+        )
+        expectThat(replica.configuration).isEqualTo(changed)
         expectThat(replica.committedConfiguration.configuration).isEqualTo(configuration)
     }
+
+    /** Guards against a replica that states the members of a snapshot as today's before it has the entries after it. */
+    @Test
+    fun `a replica that has installed a snapshot has caught up only with the entries after it`() {
+        val replica = replica(first)
+        val snapshot = Snapshot(50, 1, 1_000, changed, ByteArray(1))
+        replica.receive(1, ReplicaMessageContent.SnapshotRequest(snapshot, offset = 0, totalBytes = 1, round = 0), 1)
+        expectThat(replica.isCaughtUp).isFalse()
+        expectThat(replica.committedConfiguration).isEqualTo(PositionedConfiguration(50, changed))
+        replica.receive(1, append(previous = 50, emptyList(), commitIndex = 50), term = 1)
+        expectThat(replica.isCaughtUp).isTrue()
+    }
 }
