Judge contact by caught-up replicas, and let cores find back too

An entry judged contact by the position and took itself for isolated while its leader sent heartbeats (20,000 known, 10,000 announced: isolated after 10 s of heartbeats). Heartbeats now say whether their sender has caught up, and only they count as contact. - A core had no way back: with all links silent it dialled the members of its own log and the seeds, which may all be gone. A hint replaces a leader without an open link. - After a rollback of the cores, or with a group set up anew, announcements were ignored for ever. An isolated entry accepts them. - Two threads could close links to new members for 500 ms; keepLinks is synchronized.

GroupViewTest and MembershipUpdaterTest cover each point but the last; "announcements in any order" now reads the leader too.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -57,6 +57,9 @@
     /** Returns the replica on the machine that operators name [machine], or null if it is unknown. */
     fun replicaOn(machine: String): InstanceName? = machines[machine]
 
+    /** Replicas to which outbound links are open or being opened. */
+    val dialled: Set<InstanceName> get() = peers.dialled
+
     /** Replicas with an open outbound link, and this replica itself. */
     val reachable: Set<InstanceName> get() = peers.connected + self
 
@@ -69,9 +72,6 @@
     /** The newest members that another replica announced on an open link, or null. */
     val reportedMembers: ServiceMessage.Members? get() = members.reported
 
-    /** Position in the log of the members that this replica announces; 0 unless it has caught up with its leader. */
-    val announcedIndex: Long get() = members.announcedIndex
-
     /**
      * Maintains links to the other [replicas] and announces the members: [own] if it names a leader, otherwise the
      * newest ones that another replica announced.
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -138,7 +138,7 @@
 
     private fun tick() {
         val status = host.status
-        members.tick(status, retiring())
+        members.tick(status, retiring(), clock())
         duties.tick(status)
         retirements.tick(retiring(), clock())
         memory.tick(clock()) { currentSize(status) }
@@ -161,7 +161,7 @@
 
     private fun heartbeat() = HeartbeatContent(
         settingsRevision = machine.configuration?.revision ?: Revision.NONE,
-        membersIndex = links.announcedIndex,
+        isCaughtUp = host.status.isCaughtUp,
     )
 
     private fun retiring() = machine.retirements.values.map { it.instance }.toSet()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembersPublisher.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembersPublisher.kt
@@ -22,12 +22,7 @@
     /** The newest members that a replica with an open link announced, or null. */
     @get:Synchronized
     val reported: ServiceMessage.Members?
-        get() = received.values.maxByOrNull { it.index }
-
-    /** Position in the log of the announced members of this replica; 0 unless it has caught up with its leader. */
-    @get:Synchronized
-    val announcedIndex: Long
-        get() = if (current.isCaughtUp) current.members.index else 0
+        get() = received.values.maxWithOrNull(compareBy({ it.index }, { it.term }))
 
     /**
      * Announces [own] if it names a leader, which means that this replica has caught up with it. Repeats what an
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -118,15 +118,16 @@
                 else -> return reply
             }
             group.onNotLeading(target)
-            if (reply is ServiceReply.NotLeader) {
-                reply.leader?.takeIf {
-                    it != target && it !in excluded
-                }?.let(group::onHint)
-            }
             excluded = excluded + target
+            if (reply is ServiceReply.NotLeader) useHint(reply, excluded)
         }
     }
 
+    private fun useHint(reply: ServiceReply.NotLeader, excluded: Set<InstanceName>) {
+        val leader = reply.leader ?: return
+        if (leader !in excluded) group.onHint(leader, links.connected)
+    }
+
     /** Returns limits that abandon the call if [target] is silent or another replica becomes the leader. */
     private fun limits(remaining: Duration, target: InstanceName): CallLimits {
         val known = group.leader
@@ -195,10 +196,11 @@
     }
 
     private fun onHeartbeat(link: LinkConnection, heartbeat: LinkMessage.Heartbeat) {
-        group.onHeartbeat(heartbeat.membersIndex, clock())
+        if (heartbeat.isCaughtUp) group.onContact(clock())
         fetchIfNewer(link, heartbeat.settingsRevision)
     }
 
+    @Synchronized
     private fun keepLinks() = links.keep(group.targets(links.connected, clock()))
 
     private suspend fun keepLinksPeriodically() {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/PeerLinks.kt
@@ -33,6 +33,9 @@
     private val open = ConcurrentHashMap<InstanceName, LinkConnection>()
     private var isClosed = false
 
+    /** Names of the replicas to which links are open or being opened. */
+    internal val dialled: Set<InstanceName> get() = clients.keys.toSet()
+
     /** Names of the replicas with an open link. */
     public val connected: Set<InstanceName> get() = open.keys
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -41,12 +41,11 @@
 /**
  * State of the daemon that each heartbeat reports to the peer.
  *
- * @property membersIndex position in the log of the members that a replica in contact with its leader announces; 0 for
- * all other daemons.
+ * @property isCaughtUp true if the sender is a replica that knows as committed whatever its leader does.
  */
 public data class HeartbeatContent(
     public val draining: Boolean = false,
     public val settingsRevision: Revision = Revision.NONE,
     public val load: LoadReport? = null,
-    public val membersIndex: Long = 0,
+    public val isCaughtUp: Boolean = false,
 )
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkMessage.kt
@@ -34,8 +34,8 @@
         public val draining: Boolean,
         public val settingsRevision: Revision,
         public val load: LoadReport? = null,
-        /** See [HeartbeatContent.membersIndex]. */
-        public val membersIndex: Long = 0,
+        /** See [HeartbeatContent.isCaughtUp]. */
+        public val isCaughtUp: Boolean = false,
     ) : LinkMessage
 
     /** Last message before the sender closes the link, with the reason. */
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -234,7 +234,7 @@
                     content.draining,
                     content.settingsRevision,
                     content.load,
-                    content.membersIndex,
+                    content.isCaughtUp,
                 ),
             ),
         )
