Return what a linearizable read observed only from a complete state

A core whose disk fails resets its state and replays its log in the same process. A caller whose read was confirmed just before could get an earlier configuration as the newest, a page or an item of a job in its earlier state, or "done" for a job that is known from a part of the log.

Cause: readLinearizable checked after the read only for "not found" that the replica still led. Change: all that is read, whatever it is, is returned only if the replica still leads in the same term after the read; it has not failed in between then, as a reopened replica needs a new term to lead. Otherwise the reply is Unavailable, which callers retry. readLinearizable returns what it read, so that a found job can't outlive a refusal.

Four new tests of JobCallHandlerTest failed before: found Document, Results, Content and Done, each in place of Unavailable. They pass now.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import arrow.core.flatMap
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -47,10 +48,10 @@
 
     private suspend fun execute(call: ServiceCall, recipient: ReplyRecipient): ServiceReply = when (call) {
         is ServiceCall.AppliedConfiguration -> applied(call)
-        is ServiceCall.NewestConfiguration -> readLinearizable { document() ?: ServiceReply.NotFound }
+        is ServiceCall.NewestConfiguration -> replyAfterRead(::document)
         is ServiceCall.SubmitJob -> submit(call)
         is ServiceCall.ReadJob -> readJob(call, recipient)
-        is ServiceCall.ReadItem -> readLinearizable { readItem(call) }
+        is ServiceCall.ReadItem -> replyAfterRead { readItem(call) }
         is ServiceCall.EndJob -> propose(ServiceCommand.EndJob(JobIdentifier(call.job)))
     }
 
@@ -61,7 +62,8 @@
         machine.configuration?.let { ServiceReply.Document(it.revision, it.document) }
 
     private suspend fun submit(call: ServiceCall.SubmitJob): ServiceReply {
-        if (machine.job(JobIdentifier(call.job)) != null) return readLinearizable { ServiceReply.Done }
+        val isKnown = { machine.job(JobIdentifier(call.job)) != null }
+        if (isKnown() && readLinearizable(isKnown).getOrElse { return it }) return ServiceReply.Done
         if (!host().status.isLeader) return ServiceReply.NotLeader(host().status.leader)
         return decode(call).fold(
             { fault ->
@@ -83,12 +85,8 @@
         }
 
     private suspend fun readJob(call: ServiceCall.ReadJob, recipient: ReplyRecipient): ServiceReply {
-        var found: JobRecord? = null
-        val reply = readLinearizable {
-            found = machine.job(JobIdentifier(call.job))
-            if (found == null) ServiceReply.NotFound else ServiceReply.Done
-        }
-        val record = found ?: return reply
+        val record = readLinearizable { machine.job(JobIdentifier(call.job)) }.getOrElse { return it }
+            ?: return ServiceReply.NotFound
         if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
         awaitResult(record, call)
         if (!recipient.isWaiting) return CALLER_GONE
@@ -117,28 +115,27 @@
         return ServiceReply.Results(total, call.after, StateCodec.encode(packed))
     }
 
-    private fun readItem(call: ServiceCall.ReadItem): ServiceReply {
-        val item = machine.job(JobIdentifier(call.job))?.item(RequestIdentifier(call.item))
-        return item?.let { ServiceReply.Content(it.body) } ?: ServiceReply.NotFound
-    }
+    private fun readItem(call: ServiceCall.ReadItem): ServiceReply.Content? =
+        machine.job(JobIdentifier(call.job))?.item(RequestIdentifier(call.item))?.let { ServiceReply.Content(it.body) }
 
-    /** Performs a linearizable read: computes [answer] after all previously acknowledged commands are applied. */
-    private suspend fun readLinearizable(answer: () -> ServiceReply): ServiceReply {
-        val term = host().status.term
-        return host().query(EMPTY_QUERY).await().fold(::refusal) {
-            val reply = answer()
-            if (reply is ServiceReply.NotFound) notFoundIfComplete(term) else reply
-        }
-    }
+    private suspend fun replyAfterRead(read: () -> ServiceReply?): ServiceReply =
+        readLinearizable(read).fold({ it }) { it ?: ServiceReply.NotFound }
 
     /**
-     * Returns `NotFound` only if the state is complete. A disk failure resets the state and the log is replayed, but a
-     * replica that still leads in the same [term] has not failed in between.
+     * Performs a linearizable read: calls [read] after all previously acknowledged commands are applied, and returns
+     * its result or the reason for a refusal.
+     *
+     * A disk failure resets the state and the log is replayed, so that [read] may observe an earlier state. A replica
+     * that still leads in the same term after [read] has not failed in between.
      */
-    private fun notFoundIfComplete(term: Long): ServiceReply {
-        val status = host().status
-        val isComplete = status.isLeader && status.term == term
-        return if (isComplete) ServiceReply.NotFound else ServiceReply.Unavailable("the state is being read")
+    suspend fun <T> readLinearizable(read: () -> T): Either<ServiceReply, T> {
+        val term = host().status.term
+        return host().query(EMPTY_QUERY).await().mapLeft(::refusal).flatMap {
+            val result = read()
+            val status = host().status
+            val isComplete = status.isLeader && status.term == term
+            if (isComplete) result.right() else ServiceReply.Unavailable("the state is being read").left()
+        }
     }
 
     /** Proposes [command] and returns its outcome: `Done` once it is committed and applied. */
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
@@ -20,6 +20,7 @@
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.RequestIdentifier
+import org.zinniahoist.model.Revision
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
@@ -43,13 +44,15 @@
     lateinit var folder: Path
 
     private val machine = ServiceStateMachine(SilentListener)
-    private val emptyState = machine.snapshot()
+
+    /** State of the replica after its failure: what it has replayed of its log by then. */
+    private var replayedState = machine.snapshot()
 
     /** Set to make the replica fail during the next read. */
     @Volatile
     private var failsAfterRead = false
 
-    /** True once the replica has failed: its state is empty and it is no longer the leader. */
+    /** True once the replica has failed: it replays its log and is no longer the leader. */
     @Volatile
     private var hasFailed = false
     private val leader by lazy { openHost("leader", voters = 1) }
@@ -75,7 +78,7 @@
     private inner class FailingMachine : StateMachine by machine {
         override fun query(timeMilliseconds: Long, query: ByteArray): ByteArray {
             if (failsAfterRead) {
-                machine.restore(emptyState)
+                machine.restore(replayedState)
                 hasFailed = true
             }
             return machine.query(timeMilliseconds, query)
@@ -84,8 +87,12 @@
 
     private suspend fun submit() {
         withTimeout(BOUND) { while (!leader.status.isLeader) delay(1.milliseconds) }
-        val job = BatchJob(JobIdentifier("j"), "h", "/p/", emptyList())
-        leader.propose(StateCodec.encode<ServiceCommand>(ServiceCommand.SubmitJob(job))).await()
+        val item = BatchItem(RequestIdentifier("i"), "/p/", emptyList(), ByteArray(0), tokens = 1)
+        propose(ServiceCommand.SubmitJob(BatchJob(JobIdentifier("j"), "h", "/p/", listOf(item))))
+    }
+
+    private suspend fun propose(command: ServiceCommand) {
+        leader.propose(StateCodec.encode(command)).await()
     }
 
     /** Guards against a "not found" reply for an accepted job while a failed replica replays its log. */
@@ -97,6 +104,47 @@
             .isA<ServiceReply.Unavailable>()
     }
 
+    /** Guards against a configuration that was replaced long ago, told as the newest one by a replica that replays. */
+    @Test
+    fun `a replica that replays its log does not return an earlier configuration`(): Unit = runBlocking {
+        submit()
+        propose(ServiceCommand.AcceptConfiguration(Revision(1), ByteArray(0)))
+        replayedState = machine.snapshot()
+        propose(ServiceCommand.AcceptConfiguration(Revision(2), ByteArray(0)))
+        expectThat(calls.answer(ServiceCall.NewestConfiguration)).isA<ServiceReply.Document>()
+            .get { revision }.isEqualTo(Revision(2))
+        failsAfterRead = true
+        expectThat(calls.answer(ServiceCall.NewestConfiguration)).isA<ServiceReply.Unavailable>()
+    }
+
+    /** Guards against a page without results that the trainer has been told of before. */
+    @Test
+    fun `a replica that replays its log does not return a page of results`(): Unit = runBlocking {
+        submit()
+        replayedState = machine.snapshot()
+        failsAfterRead = true
+        expectThat(calls.answer(ServiceCall.ReadJob("j", after = 0, waitMilliseconds = 0, acceptsPacked = true)))
+            .isA<ServiceReply.Unavailable>()
+    }
+
+    /** Guards against the body of an item of a job that no longer exists. */
+    @Test
+    fun `a replica that replays its log does not return an item`(): Unit = runBlocking {
+        submit()
+        replayedState = machine.snapshot()
+        failsAfterRead = true
+        expectThat(calls.answer(ServiceCall.ReadItem("j", "i"))).isA<ServiceReply.Unavailable>()
+    }
+
+    /** Guards against an acknowledgement of a job that is known only from a part of the log that is out of date. */
+    @Test
+    fun `a replica that replays its log does not acknowledge a job again`(): Unit = runBlocking {
+        submit()
+        replayedState = machine.snapshot()
+        failsAfterRead = true
+        expectThat(calls.answer(ServiceCall.SubmitJob("h", "/p/", "j", ByteArray(0)))).isA<ServiceReply.Unavailable>()
+    }
+
     /** Guards against readers of a nonexistent job that retry until they time out. */
     @Test
     fun `a leader reports a nonexistent job as unknown`(): Unit = runBlocking {
