Read retirements within a linearizable read

A core that had just become the leader, and had not applied its log yet, refused a retirement that had been accepted before with 409, since it did not know it and counted the machine twice. A core that replayed its log after a disk failure said 404 to the question whether it is complete.

Cause: the state was read before, and after, the linearizable read of another value. Change: both read it inside.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
@@ -1,5 +1,6 @@
 package org.zinniahoist.gateway.core
 
+import arrow.core.getOrElse
 import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpRequest
@@ -102,19 +103,20 @@
     private suspend fun retire(name: String): Outcome {
         if (!host.status.isLeader) return redirectToLeader(host.status.leader)
         val instance = links.replicaOn(name) ?: return Outcome(HttpStatus.NOT_FOUND, "unknown machine")
-        val others = machine.retirements.filterKeys { it != name }.values.map { it.instance }.toSet()
-        val isKnown = name in machine.retirements
-        if (!isKnown && !retirements.mayRetire(instance, others)) {
-            return Outcome(HttpStatus.CONFLICT, "too few replicas would remain")
-        }
+        val mayRetire = jobs.readLinearizable { mayRetire(name, instance) }.getOrElse { return outcome(it, "") }
+        if (!mayRetire) return Outcome(HttpStatus.CONFLICT, "too few replicas would remain")
         return outcome(jobs.propose(ServiceCommand.RetireInstance(name, instance)), "instance $instance")
     }
 
+    private fun mayRetire(name: String, instance: InstanceName): Boolean {
+        val others = machine.retirements.filterKeys { it != name }.values.map { it.instance }.toSet()
+        return name in machine.retirements || retirements.mayRetire(instance, others)
+    }
+
     private suspend fun readRetirement(name: String): Outcome {
-        val reply = jobs.answer(ServiceCall.NewestConfiguration)
-        if (reply !is ServiceReply.Document && reply !is ServiceReply.NotFound) return outcome(reply, "")
-        val retirement = machine.retirements[name] ?: return Outcome(HttpStatus.NOT_FOUND, "not retiring")
-        val isComplete = retirements.isComplete(retirement.instance)
+        val read = jobs.readLinearizable { machine.retirements[name]?.instance?.let(retirements::isComplete) }
+        val isComplete = read.getOrElse { return outcome(it, "") }
+            ?: return Outcome(HttpStatus.NOT_FOUND, "not retiring")
         return Outcome(HttpStatus.OK, "complete $isComplete", dialect.retirement(isComplete))
     }
 
