Keep the leader's list of upstreams from being replaced by an older own read

An entry without news of the leader for 1.6 s reads the platform's list itself. If the leader's list arrived during that read, the older result replaced it, and all later notices "unchanged" confirmed the older one: until the list changed again, requests went to upstreams that leave, and none to those that were new.

Cause: the last list counted, whoever it came from, while a notice means the list that the leader sent last. Change: an own read is dropped if news of the leader arrived since its start, and a notice refers to the list that was sent, not to one that was read.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
@@ -26,19 +26,37 @@
     @Volatile
     private var refreshedAt: Moment? = null
 
-    private var latest: List<ListedUpstream>? = null
+    /** The list that the leader sent last. Its notices of an unchanged list refer to it, and not to an own read. */
+    private var sent: List<ListedUpstream>? = null
 
     /** True once a list has been received. */
     val isKnown: Boolean get() = refreshedAt != null
 
+    /** Uses [entries], which the leader sent, or its list before if [entries] is null. */
     @Synchronized
     fun refresh(entries: List<ListedUpstream>?) {
-        refreshedAt = clock()
+        val listed = entries ?: sent ?: return
+        sent = listed
         // An unchanged list is listed once more, so that notices of upstreams that it lacks expire.
-        val listed = entries ?: latest ?: return
-        latest = listed
-        chooser.relist(leaving.onListed(listed, clock()))
-        if (entries == null) return
+        use(listed)
+        if (entries != null) logList(entries)
+    }
+
+    /** Uses [entries], the result of an own read, unless the leader has sent a list since [previous]. */
+    @Synchronized
+    private fun onRead(entries: List<ListedUpstream>, previous: Moment?) {
+        if (refreshedAt != previous) return
+        use(entries)
+        logList(entries)
+    }
+
+    private fun use(entries: List<ListedUpstream>) {
+        val now = clock()
+        refreshedAt = now
+        chooser.relist(leaving.onListed(entries, now))
+    }
+
+    private fun logList(entries: List<ListedUpstream>) {
         logger.info {
             "event=upstreams-known count=${entries.size} " +
                 "leaving=${entries.filter { it.isLeaving }.joinToString(",") { it.identity.value }}"
@@ -69,12 +87,18 @@
     /** Reads the list whenever no update has arrived for [STALE_AFTER]. Runs until it is cancelled. */
     suspend fun refreshPeriodically() {
         while (true) {
-            val age = refreshedAt?.let { clock() - it }
-            if (age == null || age >= STALE_AFTER) reader.readAndApply(::refresh)
+            refreshIfStale()
             delay(CHECK_INTERVAL)
         }
     }
 
+    /** Reads the list if no update has arrived for [STALE_AFTER]. */
+    suspend fun refreshIfStale() {
+        val previous = refreshedAt
+        val isStale = previous == null || clock() - previous >= STALE_AFTER
+        if (isStale) reader.readAndApply { onRead(it, previous) }
+    }
+
     private companion object {
         val logger = KotlinLogging.logger {}
 
