Repeat the whole list of upstreams for 5 s after a change of leadership

An entry could keep a list of the former leader until the list changed again: two leaders at once, or links of different delay, deliver the former leader's last list after the first one of the new leader, whose notices "unchanged" then confirm it.

Cause: a notice refers to what its sender sent, the entry knows only what came last. Change: a leader sends the whole list with each read in the first 5 s of its publication, within which its predecessor's last list has arrived or its link is closed.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UpstreamPublisher.kt
@@ -9,7 +9,7 @@
 
 /**
  * Publishes the platform's upstream list to the entries while this replica is the leader. An entry that already has the
- * list receives only a notice that it is unchanged. Thread-safe.
+ * list receives only a notice that it is unchanged, except for some time after a change of leadership. Thread-safe.
  */
 internal class UpstreamPublisher {
     /** Links of the entries, each with the list last queued on it. */
@@ -17,6 +17,9 @@
     private var latest: List<ListedUpstream>? = null
     private var leadershipEpoch = 0L
 
+    /** Time of the first publication in this period of leadership, or null before it. */
+    private var publishingSince: Moment? = null
+
     /** Starts a read of the list at [now]. */
     @Synchronized
     fun beginRead(now: Moment): ListRead = ListRead(leadershipEpoch, now)
@@ -26,6 +29,8 @@
     fun publish(read: ListRead, entries: List<ListedUpstream>, now: Moment) {
         if (read.leadershipEpoch != leadershipEpoch || now - read.startedAt > MAXIMUM_READ_TIME) return
         latest = entries
+        val since = publishingSince ?: now.also { publishingSince = it }
+        if (now - since < SUCCESSION_TIME) delivered.replaceAll { _, _ -> null }
         delivered.keys.toList().forEach { deliver(it, entries) }
     }
 
@@ -34,6 +39,7 @@
     fun stop() {
         leadershipEpoch++
         latest = null
+        publishingSince = null
         delivered.replaceAll { _, _ -> null }
     }
 
@@ -66,5 +72,11 @@
     private companion object {
         /** Entries that receive no list for 1.6 s read it themselves; an older result would overwrite theirs. */
         val MAXIMUM_READ_TIME = 2.seconds
+
+        /**
+         * Time from the first list of a leader in which entries may still receive one of its predecessor. Covers the
+         * time until that notices its loss of leadership, 1.2 s, and twice the silence limit of a link.
+         */
+        val SUCCESSION_TIME = 5.seconds
     }
 }
