Run no items on upstreams of a list that was read in an earlier term

A core that led before sent the first items of its next term to upstreams of the list that it had read then, minutes ago. Those that are gone cost the items a connection attempt of 0.7 s or more each; those that leave may break off the run.

Cause: the registry of upstreams outlives the leadership, and the engine is activated some 50 ms before the first list of the new term is read. Change: a leader whose latest list is older than 3 s begins without upstreams, as one that never led does. A replica that loses the leadership for a moment keeps its list.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -28,6 +28,7 @@
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.wire.ServiceReply
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** Runs the leader's background work: batch jobs, weight orders and reads of the platform's upstream list. */
 internal class LeaderTasks(
@@ -138,6 +139,8 @@
         )
         machine.versions.forEach { (model, version) -> loader.onPublished(model, version) }
         readRoutes()
+        // Upstreams of a list that was read in an earlier term may be gone.
+        if (leaving.listAge(clock())?.let { it > MAXIMUM_LIST_AGE } == true) engine.updateUpstreams(emptyList())
         engine.activate()
         logger.info { "event=jobs-taken term=${action.term} fence=${action.fence} jobs=${machine.jobs.size}" }
     }
@@ -178,6 +181,9 @@
         /** Interval between reads of the list; bounds, with the list's own lag, how late a removal is detected. */
         val LIST_INTERVAL = 1_000.milliseconds
 
+        /** Age from which a new leader runs no items on the upstreams of a list; a read may take longer than usual. */
+        val MAXIMUM_LIST_AGE = 3.seconds
+
         /** Interval at which a follower checks for leadership; bounds the delay of a new leader's first read. */
         val LEADERSHIP_CHECK_INTERVAL = 50.milliseconds
     }
