Take the seeds of a changed settings file while a process runs

Cause: `validateChangedSettings` checked the file on SIGHUP and dropped it, so `group.seeds` held from the start of the process for ever. A change without a signal, which the platform's pages allow, was not noticed at all.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/GatewayProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/GatewayProcess.kt
@@ -12,6 +12,14 @@
     /** Starts serving. */
     public fun start()
 
+    /**
+     * Applies what can change at run time, the seeds of [settings]; all other values must be those of the start. Called
+     * after [start] has returned, on any thread.
+     *
+     * Other keys that change in the settings file apply at the next start and are named in the log line of the change.
+     */
+    public fun reload(settings: GatewaySettings)
+
     /** Drains the work in progress and stops. Returns when the process may exit. */
     public fun stop()
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -119,6 +119,8 @@
         return server
     }
 
+    override fun reload(settings: GatewaySettings): Unit = members.useSeeds(ReplicaGroup.seedsOf(settings))
+
     override fun stop() {
         logger.info { "event=stopping role=core machine=${settings.machine}" }
         // The process may be stopped before start() completes, while it waits for the disk.
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
@@ -8,17 +8,25 @@
 /**
  * Propagates changes of the group membership to the local replica and to the links of a core.
  *
- * Not thread-safe.
+ * Not thread-safe, except for [useSeeds].
  *
  * @param seeds the replicas listed in the settings.
  */
 internal class MembershipUpdater(
     private val host: GroupHost,
     private val links: CoreLinks,
-    private val seeds: Set<InstanceName>,
+    seeds: Set<InstanceName>,
 ) {
+    @Volatile
+    private var seeds = seeds
+
     private var lastIntroduction: Pair<Set<InstanceName>, Set<InstanceName>>? = null
 
+    /** Uses [seeds] instead of the former ones from the next [tick] on. */
+    fun useSeeds(seeds: Set<InstanceName>) {
+        this.seeds = seeds
+    }
+
     /** Applies the members of [status]; replicas on the instances [retiring] are not admitted to the group. */
     fun tick(status: GroupStatus, retiring: Set<InstanceName>) {
         val own = status.configuration.members.map { it.address.instance }.distinct()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -148,6 +148,8 @@
         if (!evidence.isEmpty) link.offer(evidence.toReport(clock()))
     }
 
+    override fun reload(settings: GatewaySettings): Unit = core.useSeeds(ReplicaGroup.seedsOf(settings))
+
     override fun stop() {
         logger.info { "event=stopping role=entry machine=${settings.machine} in-flight=${http.requestsInFlight}" }
         runBlocking { EntryShutdown(http, settings.grace, clock).drain() }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -37,7 +37,7 @@
 
 /** Client of the service group: tracks its replicas, subscribes to their configuration and calls their leader. */
 public class CoreClient(
-    private val seeds: Set<InstanceName>,
+    seeds: Set<InstanceName>,
     hello: LinkMessage.Hello,
     private val observer: CoreObserver,
     private val scope: CoroutineScope,
@@ -47,6 +47,9 @@
     private val calls = ServiceCalls(clock)
     private val links = PeerLinks(hello, this, clock)
 
+    @Volatile
+    private var seeds = seeds
+
     @Volatile
     private var members: Set<InstanceName> = emptySet()
 
@@ -73,6 +76,12 @@
         scope.launch { fetchNewestConfiguration() }
     }
 
+    /** Dials [seeds] instead of the former ones, besides the members. */
+    public fun useSeeds(seeds: Set<InstanceName>) {
+        this.seeds = seeds
+        links.keep(members + seeds)
+    }
+
     override fun close(): Unit = links.close()
 
     /**
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
@@ -6,33 +6,50 @@
 import com.linecorp.armeria.client.WebClient
 import com.linecorp.armeria.common.AggregatedHttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.api.io.TempDir
 import org.zinniahoist.gateway.dialect.OperatorCall
 import org.zinniahoist.gateway.dialect.OutboundPaths
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.model.Endpoint
+import org.zinniahoist.model.FailureDomain
+import org.zinniahoist.model.Incarnation
+import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.Region
 import org.zinniahoist.model.Revision
+import org.zinniahoist.model.Role
 import org.zinniahoist.policy.routes.ConfigurationFault
 import org.zinniahoist.policy.routes.ServiceConfiguration
 import org.zinniahoist.settings.GatewayRole
 import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.wire.HeartbeatContent
+import org.zinniahoist.wire.LinkCloseCause
+import org.zinniahoist.wire.LinkConnection
+import org.zinniahoist.wire.LinkHandler
+import org.zinniahoist.wire.LinkLimits
+import org.zinniahoist.wire.LinkMessage
+import org.zinniahoist.wire.LinkServer
+import org.zinniahoist.wire.Message
 import strikt.api.expectThat
 import strikt.assertions.isEqualTo
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isNotNull
+import strikt.assertions.isTrue
 import strikt.assertions.startsWith
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit.MILLISECONDS
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Tests the start of a core that is the only replica of its group. */
+/** Tests the start, the reload and the stop of a core that is the only replica of its group. */
 class CoreStartTest {
     @TempDir
     lateinit var folder: Path
@@ -40,7 +57,7 @@
     private val operators = Endpoint(HOST, freePort())
     private val decoded = AtomicInteger()
 
-    private fun core(linkPort: Int) = CoreProcess(settings(linkPort), Dialect(), { Moment(System.nanoTime()) }, ::error)
+    private fun core(linkPort: Int) = CoreProcess(settings(linkPort), Dialect(), ::now, ::error)
 
     private fun await(call: (BlockingWebClient) -> AggregatedHttpResponse) {
         val client = WebClient.of("h1c://$operators").blocking()
@@ -88,6 +105,40 @@
         }
     }
 
+    /** Guards against a core that finds its group never again, because all cores in its settings have been replaced. */
+    @Test
+    fun `a core dials a seed that only its changed settings name`() {
+        val linkPort = freePort()
+        val opened = CountDownLatch(1)
+        val seed = LinkServer(Endpoint(SEED_HOST, linkPort), hello(linkPort), Seed(opened), ::HeartbeatContent, ::now)
+        runBlocking { seed.start() }
+        val core = core(linkPort)
+        core.start()
+        core.reload(settings(linkPort).copy(seeds = listOf(operators.copy(host = SEED_HOST))))
+        expectThat(opened.await(BOUND.inWholeMilliseconds, MILLISECONDS)).isTrue()
+        core.stop()
+        seed.close()
+    }
+
+    private fun now() = Moment(System.nanoTime())
+
+    private fun hello(linkPort: Int) = LinkMessage.Hello(
+        LinkLimits.PROTOCOL_VERSION,
+        InstanceName("$SEED_HOST:$linkPort"),
+        Incarnation(1),
+        FailureDomain("b", Region("r")),
+        setOf(Role.CONTROL),
+    )
+
+    /** A core that only accepts links. */
+    private class Seed(private val opened: CountDownLatch) : LinkHandler {
+        override fun onOpen(link: LinkConnection): Unit = opened.countDown()
+
+        override suspend fun onMessage(link: LinkConnection, message: Message) = Unit
+
+        override fun onClosed(link: LinkConnection, cause: LinkCloseCause) = Unit
+    }
+
     private inner class Dialect : PlatformDialect by StubDialect() {
         override val paths = object : OutboundPaths {
             override val report = StubDialect.REPORT
@@ -127,6 +178,7 @@
 
     private companion object {
         const val HOST = "127.0.0.1"
+        const val SEED_HOST = "127.0.0.2"
         const val CONFIGURE = "/configure"
         const val READ = "/read"
         const val CONFIGURATIONS = 30
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryConfigurationTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryConfigurationTest.kt
@@ -48,7 +48,26 @@
         }
     }
 
+    /**
+     * Guards against an entry that finds no core for ever, because all cores that its settings named at its start have
+     * been replaced.
+     */
+    @Test
+    fun `an entry finds a core that only its changed settings name`() {
+        EntryFixture(grace = 2.seconds, latency = 1.milliseconds, seedHost = UNUSED_HOST).use { fixture ->
+            fixture.entry.start()
+            fixture.nameCoreAsSeed()
+            val end = System.nanoTime() + TIMEOUT.inWholeNanoseconds
+            while (fixture.activeRevisions.isEmpty() && System.nanoTime() < end) Thread.sleep(5)
+            expectThat(fixture.activeRevisions.toList()).isEqualTo(listOf(Revision(1)))
+            fixture.entry.stop()
+        }
+    }
+
     private companion object {
+        /** A loopback address on which nothing listens. */
+        const val UNUSED_HOST = "127.0.0.2"
+
         val REPLAYED = listOf(2L, 7L, 21L, 30L)
         val REPLAY_INTERVAL = 150.milliseconds
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -61,12 +61,16 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs an entry on loopback with a fake core and one route of [kind] to [otherUpstream], or to one with [latency]. */
+/**
+ * Runs an entry on loopback with a fake core and one route of [kind] to [otherUpstream], or to one with [latency]. The
+ * entry finds the core at its start unless [seedHost] is another host.
+ */
 internal class EntryFixture(
     grace: Duration,
     private val latency: Duration,
     private val kind: RouteKind = RouteKind.REPEATABLE,
     private val otherUpstream: Endpoint? = null,
+    seedHost: String = HOST,
 ) : AutoCloseable {
     private val clock = { Moment(System.nanoTime()) }
     private val upstream = startUpstream()
@@ -89,8 +93,8 @@
 
     /** Address on which the entry listens for clients. */
     val clients = Endpoint(HOST, freePort())
-    val entry: GatewayProcess =
-        EntryProcess(settings(grace, linkPort = runBlocking { core.start() }.port), Dialect(), clock)
+    private val settings = settings(grace, linkPort = runBlocking { core.start() }.port, seedHost)
+    val entry: GatewayProcess = EntryProcess(settings, Dialect(), clock)
 
     /** Starts the entry and waits until it is ready. */
     fun start() {
@@ -105,6 +109,9 @@
         }
     }
 
+    /** Gives the entry changed settings, whose only seed is the core. */
+    fun nameCoreAsSeed(): Unit = entry.reload(settings.copy(seeds = listOf(SEED)))
+
     /** Makes the core apply and announce the configuration with [revision]. */
     fun announce(revision: Long) {
         replica.newest = Revision(revision)
@@ -145,7 +152,7 @@
         return server
     }
 
-    private fun settings(grace: Duration, linkPort: Int) = GatewaySettings(
+    private fun settings(grace: Duration, linkPort: Int, seedHost: String) = GatewaySettings(
         machine = "entry-1",
         role = GatewayRole.ENTRY,
         failureDomain = "a",
@@ -156,7 +163,7 @@
         clients = clients,
         readiness = readiness,
         operators = null,
-        seeds = listOf(Endpoint(HOST, 1)),
+        seeds = listOf(SEED.copy(host = seedHost)),
         firstStart = false,
         toleratedLosses = 1,
         listEndpoint = Endpoint(HOST, upstream.activeLocalPort()),
@@ -235,6 +242,9 @@
 
     private companion object {
         const val HOST = "127.0.0.1"
+
+        /** Address for operators of the core, whose host is that of its links. */
+        val SEED = Endpoint(HOST, 1)
         val REVISION = Revision(1)
         val SERVICE = ServiceName("cases")
         val READY_TIMEOUT = 10.seconds
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -54,7 +54,33 @@
     public val orderLease: Duration,
     /** Time for which an upstream accepts requests after it said that it is leaving. */
     public val drain: Duration = DEFAULT_DRAIN,
-)
+) {
+    /** Returns the keys of the settings file whose values differ from those in [other]. */
+    public fun keysThatDiffer(other: GatewaySettings): List<String> {
+        val others = other.values()
+        return values().filter { (key, value) -> value != others[key] }.keys.toList()
+    }
+
+    private fun values(): Map<String, Any?> = mapOf(
+        "process.machine" to machine,
+        "process.role" to role,
+        "process.failure-domain" to failureDomain,
+        "process.region" to region,
+        "process.address" to address,
+        "process.link-port" to linkPort,
+        "process.data-folder" to dataFolder,
+        "listen.clients" to clients,
+        "listen.readiness" to readiness,
+        "listen.operators" to operators,
+        "group.seeds" to seeds,
+        "group.first-start" to firstStart,
+        "group.tolerated-losses" to toleratedLosses,
+        "platform.list" to listEndpoint,
+        "times.grace-seconds" to grace,
+        "times.order-lease-milliseconds" to orderLease,
+        "times.drain-milliseconds" to drain,
+    )
+}
 
 /** Reads and validates the INI file of a gateway process. Returns all errors at once. */
 public object GatewaySettingsReader {
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -4,6 +4,7 @@
 import org.zinniahoist.model.Endpoint
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import kotlin.time.Duration.Companion.seconds
 
@@ -54,6 +55,43 @@
         expectThat(drainOf("$core\ndrain-milliseconds =")).isEqualTo(3.seconds)
     }
 
+    /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
+    @Test
+    fun `name each key whose value differs`() {
+        fun read(text: String) = GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it })
+        val withClients = core.replace("clients =", "clients = 10.0.0.1:1")
+        val withReadiness = withClients.replace("readiness =", "readiness = 10.0.0.1:2")
+        val lines = "$withReadiness\ndrain-milliseconds = 3000".lines()
+        val settings = read(lines.joinToString("\n"))
+        var section = ""
+        for ((index, line) in lines.withIndex()) {
+            if (line.startsWith('[')) {
+                section = line.trim('[', ']')
+                continue
+            }
+            val key = line.substringBefore(" =")
+            val changed = lines.toMutableList().also { it[index] = "$key = ${otherValues[key] ?: "10.0.0.8:1"}" }
+            expectThat(read(changed.joinToString("\n")).keysThatDiffer(settings)).containsExactly("$section.$key")
+        }
+        expectThat(settings.keysThatDiffer(settings)).isEmpty()
+    }
+
+    /** Values that differ from those in [core], of keys that are not an address. */
+    private val otherValues = mapOf(
+        "machine" to "store-a-2",
+        "role" to "entry",
+        "failure-domain" to "b",
+        "region" to "s",
+        "address" to "10.0.0.8",
+        "link-port" to "7301",
+        "data-folder" to "/data/other",
+        "first-start" to "false",
+        "tolerated-losses" to "2",
+        "grace-seconds" to "9",
+        "order-lease-milliseconds" to "3001",
+        "drain-milliseconds" to "3001",
+    )
+
     /** Guards against a reader that stops at the first error and hides the others. */
     @Test
     fun `report all errors at once`() {
