--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/MembershipUpdater.kt
@@ -11,20 +11,28 @@
 /**
  * Propagates changes of the group membership to the local replica and to the links of a core.
  *
- * Not thread-safe.
+ * Not thread-safe, except for [useSeeds].
  *
  * @param seeds the replicas listed in the settings.
  */
 internal class MembershipUpdater(
     private val host: GroupHost,
     private val links: CoreLinks,
-    private val seeds: Set<InstanceName>,
+    seeds: Set<InstanceName>,
 ) {
     private val known = KnownReplicas()
     private var current: Set<InstanceName> = seeds
     private var lastCaughtUp: Moment? = null
     private var lastIntroduction: Pair<Set<InstanceName>, Set<InstanceName>>? = null
 
+    @Volatile
+    private var seeds = seeds
+
+    /** Uses [seeds] instead of the former ones from the next [tick] on. */
+    fun useSeeds(seeds: Set<InstanceName>) {
+        this.seeds = seeds
+    }
+
     /**
      * Applies the members of [status], read at [now]; replicas on the instances [retiring] are not admitted to the
      * group.
