--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/FolderMaintenance.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/FolderMaintenance.kt
@@ -68,7 +68,7 @@
             val members = Configuration(listOf(Member(ReplicaAddress(identifier, instance), voter = true)))
             val entries = state.entries + LogEntry(index, term, time, command = null, members)
             state.snapshot?.let {
-                target.replace(FolderContent.SNAPSHOT, FrameCodec.encode(Snapshot.serializer(), it))
+                target.replace(FolderContent.SNAPSHOT, FrameCodec.encodeSnapshot(it))
             }
             val segment = entries.chunked(ENTRIES_PER_FRAME).map { FrameCodec.encode(Segment.serializer, it) }
             segment.forEach { target.append(Segment.name(1), it) }
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/FrameCodec.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/FrameCodec.kt
@@ -19,6 +19,11 @@
     private const val MAGIC = 0x7A6E6831
     private const val MAXIMUM_PAYLOAD_BYTES = 1 shl 30
 
+    /** CBOR (RFC 8949): byte string of length 0, and the first byte of one whose length follows in 4 bytes. */
+    private const val EMPTY_BYTE_STRING: Byte = 0x40
+    private const val BYTE_STRING_WITH_LENGTH: Byte = 0x5A
+    private const val BYTE_STRING_HEADER_BYTES = 5
+
     val cbor =
         Cbor {
             ignoreUnknownKeys = true
@@ -28,13 +33,30 @@
 
     fun <T> encode(serializer: KSerializer<T>, value: T): ByteArray {
         val payload = cbor.encodeToByteArray(serializer, value)
-        return ByteBuffer
-            .allocate(HEADER_BYTES + payload.size)
-            .putInt(MAGIC)
-            .putInt(payload.size)
-            .putLong(checksum(payload, 0, payload.size))
-            .put(payload)
-            .array()
+        return frame(payload.size) { it.put(payload) }
+    }
+
+    /**
+     * Encodes [snapshot] in the format of [encode], but copies its data only once. The encoder of the library takes six
+     * times the size of the data, which a process with a large state may not have.
+     */
+    fun encodeSnapshot(snapshot: Snapshot): ByteArray {
+        val empty = with(snapshot) { Snapshot(index, term, timeMilliseconds, configuration, ByteArray(0)) }
+        val payload = cbor.encodeToByteArray(Snapshot.serializer(), empty)
+        check(payload.last() == EMPTY_BYTE_STRING) { "the data is not the last field of a snapshot" }
+        val size = payload.size - 1 + BYTE_STRING_HEADER_BYTES + snapshot.data.size
+        return frame(size) { buffer ->
+            buffer.put(payload, 0, payload.size - 1)
+            buffer.put(BYTE_STRING_WITH_LENGTH).putInt(snapshot.data.size).put(snapshot.data)
+        }
+    }
+
+    private fun frame(payloadBytes: Int, write: (ByteBuffer) -> Unit): ByteArray {
+        val buffer = ByteBuffer.allocate(HEADER_BYTES + payloadBytes).position(HEADER_BYTES)
+        write(buffer)
+        val bytes = buffer.array()
+        buffer.position(0).putInt(MAGIC).putInt(payloadBytes).putLong(checksum(bytes, HEADER_BYTES, payloadBytes))
+        return bytes
     }
 
     /** Returns the length of the frame at [offset] in bytes, or null if there is no valid frame. */
--- a/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
+++ b/consensus/src/main/kotlin/org/zinniahoist/consensus/GroupStorage.kt
@@ -99,7 +99,7 @@
 
     private fun replaceSnapshot(snapshot: Snapshot) {
         if (snapshot.index <= snapshotIndex) return
-        files.replace(FolderContent.SNAPSHOT, FrameCodec.encode(Snapshot.serializer(), snapshot))
+        files.replace(FolderContent.SNAPSHOT, FrameCodec.encodeSnapshot(snapshot))
         snapshotIndex = snapshot.index
         snapshotTerm = snapshot.term
         var deleted = false
