--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/link/FormerMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/link/FormerMembersTest.kt
@@ -31,18 +31,24 @@
 import strikt.assertions.isTrue
 import java.net.ServerSocket
 import java.util.concurrent.CopyOnWriteArrayList
+import kotlin.time.Duration.Companion.seconds
 
 class FormerMembersTest {
     /** A replica that answers every call for a configuration with [revision]. */
     private inner class FakeReplica : LinkHandler {
         private val endpoint = Endpoint(HOST, ServerSocket(0).use { it.localPort })
         val instance = InstanceName("$HOST:${endpoint.port}")
-        private val server = LinkServer(endpoint, hello(instance, Role.CONTROL), this, ::HeartbeatContent, ::now)
+        private val server = LinkServer(endpoint, hello(instance, Role.CONTROL), this, ::heartbeat, ::now)
         val links = CopyOnWriteArrayList<LinkConnection>()
 
         @Volatile
         var revision = Revision(1)
 
+        @Volatile
+        var isCaughtUp = false
+
+        private fun heartbeat() = HeartbeatContent(isCaughtUp = isCaughtUp)
+
         fun start() = runBlocking { server.start() }
 
         fun close() = server.close()
@@ -107,6 +113,19 @@
         expectThat(eventually { observer.revisions.lastOrNull() == Revision(3) }).isTrue()
     }
 
+    /** Guards against an entry that takes itself for connected to the group, or for isolated, whatever it hears. */
+    @Test
+    fun `only heartbeats of a replica that has caught up count as contact`() {
+        val replica = replicas.first()
+        replicas.forEach { it.start() }
+        client = CoreClient(setOf(replica.instance), hello(InstanceName("e"), Role.ENTRY), observer, scope, ::now)
+        client.start()
+        check(eventually { replica.links.isNotEmpty() }) { "the entry has no link" }
+        expectThat(eventually { client.contactAge > 2.seconds }).isTrue()
+        replica.isCaughtUp = true
+        expectThat(eventually { client.contactAge < 1.seconds }).isTrue()
+    }
+
     /** Starts the client, lets [seed] announce [members], and stops the seed once they are connected. */
     private fun connectThroughSeed(seed: FakeReplica, members: List<FakeReplica>) {
         replicas.forEach { it.start() }
