Name an instance by the machine that runs there now

A retirement of a machine that was replaced could empty the one that has its address by now: both names stood for that address. A machine's announcement now drops other names of its instance, so that a retirement of the former machine gets 404.

NamedMembersTest "an instance has the name of the machine that runs there now" failed before: replicaOn("m4") was 127.0.0.1:5.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreLinks.kt
@@ -96,13 +96,19 @@
         when (message) {
             is ControlMessage.ReplicaTraffic -> receive(message)
             is ServiceMessage.Members -> members.onMembers(link, message)
-            is ServiceMessage.Machine -> machines[message.node] = link.peer.instance
+            is ServiceMessage.Machine -> onMachine(message.node, link.peer.instance)
             is ServiceMessage.Crashes -> crashes.onReport(link, message)
             is ServiceMessage.Call -> responder.begin(link, message)?.let { scope.launch { responder.answer(it) } }
             else -> Unit
         }
     }
 
+    /** Records that [machine] runs [instance], whose address may have belonged to another machine before. */
+    private fun onMachine(machine: String, instance: InstanceName) {
+        machines.values.remove(instance)
+        machines[machine] = instance
+    }
+
     private fun receive(traffic: ControlMessage.ReplicaTraffic) {
         try {
             host.receive(StateCodec.decode<ReplicaMessage>(traffic.content))
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/NamedMembersTest.kt
@@ -17,6 +17,7 @@
 import strikt.assertions.containsExactly
 import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNull
 
 class NamedMembersTest {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
@@ -105,4 +106,16 @@
         repeat(2) { links.update(emptySet(), known) }
         expectThat(entry.offered).containsExactly(known)
     }
+
+    /** Guards against the retirement of the machine that has the address of one that was replaced. */
+    @Test
+    fun `an instance has the name of the machine that runs there now`() {
+        val address = "127.0.0.1:5"
+        runBlocking {
+            links.onMessage(RecordedLink(address, Role.CONTROL), ServiceMessage.Machine("m4"))
+            links.onMessage(RecordedLink(address, Role.CONTROL), ServiceMessage.Machine("m9"))
+        }
+        expectThat(links.replicaOn("m9")).isEqualTo(InstanceName(address))
+        expectThat(links.replicaOn("m4")).isNull()
+    }
 }
