Use a hint while no leader is known

An entry that asked a follower before it knew the leader never became ready: the first call failed on the hint, and the coroutine that obtains the first configuration ended with it. Callers got 503 until the process was started again.

Cause: the open links are a concurrent set, whose lookup refuses null, and no leader was null. The earlier tests passed immutable sets.

GroupViewTest "a hint is used while no leader is known" uses a concurrent set and failed before with NullPointerException.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/GroupView.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/GroupView.kt
@@ -74,7 +74,9 @@
      */
     @Synchronized
     fun onHint(instance: InstanceName, connected: Set<InstanceName>) {
-        if (leader !in connected) leader = instance
+        val known = leader
+        // Concurrent sets refuse to look up null.
+        if (known == null || known !in connected) leader = instance
     }
 
     /** Records that [instance] did not answer as a leader. */
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/link/GroupViewTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/link/GroupViewTest.kt
@@ -11,6 +11,7 @@
 import strikt.assertions.isFalse
 import strikt.assertions.isLessThanOrEqualTo
 import strikt.assertions.isTrue
+import java.util.concurrent.ConcurrentHashMap
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
 
@@ -60,6 +61,15 @@
         expectThat(view.leader).isEqualTo(names(2).single())
     }
 
+    /** Guards against an entry that never starts to serve: its first call fails on the hint of a replica. */
+    @Test
+    fun `a hint is used while no leader is known`() {
+        val connected = ConcurrentHashMap.newKeySet<InstanceName>()
+        connected += names(1, 2)
+        view.onHint(names(2).single(), connected)
+        expectThat(view.leader).isEqualTo(names(2).single())
+    }
+
     /** Guards against a process that was cut off for so long that all members and seeds which it contacts are gone. */
     @Test
     fun `an isolated process contacts all replicas it has known until it hears one that has caught up`() {
