Serve the workspaces of a configuration by their keys

Cause: nothing on the gateway's path knew the workspaces of a configuration. Each request and item ran with the key of its client passed on and without the name of a workspace, keys that nobody held were served, and a revoked key worked for ever.

Change: an entry looks the key of each request up in the table that chose its route. It answers 401 without a valid key, replaces the key by the name of its workspace, and tells the leader for whom it calls. A batch job belongs to the workspace that submitted it; the leader compares, and drops the fields by which items would claim another caller. Configurations in which two workspaces share a key are invalid. With the setting keys.strict-revocation an entry without contact to the group refuses all keys after times.revoke-milliseconds. GatewaySettingsTest lists the two new keys.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRuns.kt
@@ -108,6 +108,7 @@
         val builder = ForwardedFields.request(HttpMethod.POST, item.path, job.host, fields, ownFields)
         builder.set(headerNames.requestIdentifier, item.identifier.value)
         builder.set(headerNames.expectedUpstream, action.upstream.identity.value)
+        job.workspace?.let { builder.set(headerNames.workspace, it.value) }
         action.afterEvent?.let { builder.set(headerNames.lastEvent, it.toString()) }
         return builder.build()
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
@@ -23,6 +23,7 @@
 import org.zinniahoist.state.service.ServiceAnswer
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.JobAccess
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import java.util.concurrent.ConcurrentHashMap
@@ -35,6 +36,9 @@
     private val host: () -> GroupHost,
 ) {
     private val pages = ResultPages(dialect)
+
+    /** Lower-case names of the fields that say on whose behalf a request is sent. */
+    private val callerFields = setOf("authorization", dialect.headers.workspace.lowercase())
     private val waiters = ConcurrentHashMap<JobIdentifier, CompletableDeferred<Unit>>()
 
     /** Resumes the long polls that wait for a change of this job. */
@@ -52,7 +56,7 @@
         is ServiceCall.SubmitJob -> submit(call)
         is ServiceCall.ReadJob -> readJob(call, recipient)
         is ServiceCall.ReadItem -> replyAfterRead { readItem(call) }
-        is ServiceCall.EndJob -> propose(ServiceCommand.EndJob(JobIdentifier(call.job)))
+        is ServiceCall.EndJob -> endJob(call)
     }
 
     private fun applied(call: ServiceCall.AppliedConfiguration): ServiceReply =
@@ -62,8 +66,10 @@
         machine.configuration?.let { ServiceReply.Document(it.revision, it.document) }
 
     private suspend fun submit(call: ServiceCall.SubmitJob): ServiceReply {
-        val isKnown = { machine.job(JobIdentifier(call.job)) != null }
-        if (isKnown() && readLinearizable(isKnown).getOrElse { return it }) return ServiceReply.Done
+        val known = { machine.job(JobIdentifier(call.job)) }
+        if (known() != null) {
+            readLinearizable(known).getOrElse { return it }?.let { return denial(it, call.access) ?: ServiceReply.Done }
+        }
         if (!host().status.isLeader) return ServiceReply.NotLeader(host().status.leader)
         return decode(call).fold(
             { fault ->
@@ -81,12 +87,39 @@
     private fun decode(call: ServiceCall.SubmitJob): Either<String, BatchJob> =
         dialect.job(call.job, call.host, call.path, call.body).flatMap { job ->
             val fault = JobRules.faultOf(job)
-            if (fault == null) job.right() else fault.toString().left()
+            if (fault == null) ownedBy(call.access, job).right() else fault.toString().left()
+        }
+
+    /** Returns [job] for the caller with [access], without the fields by which its items would claim another caller. */
+    private fun ownedBy(access: JobAccess, job: BatchJob): BatchJob = when (access) {
+        is JobAccess.Unrestricted -> job
+        is JobAccess.Anonymous -> withoutCallerFields(job)
+        is JobAccess.Member -> withoutCallerFields(job).copy(workspace = access.workspace)
+    }
+
+    private fun withoutCallerFields(job: BatchJob): BatchJob = job.copy(
+        items = job.items.map { item ->
+            item.withHeaders(item.headers.filterNot { it.name.lowercase() in callerFields })
+        },
+    )
+
+    private suspend fun accessibleJob(job: JobIdentifier, access: JobAccess): Either<ServiceReply, JobRecord> =
+        readLinearizable { machine.job(job) }.flatMap { record ->
+            if (record == null) ServiceReply.NotFound.left() else denial(record, access)?.left() ?: record.right()
         }
 
+    /** Returns the reply to a caller whose [access] does not include the job of [record], or null if it does. */
+    private fun denial(record: JobRecord, access: JobAccess): ServiceReply? {
+        val workspace = record.job.workspace ?: return null
+        return when (access) {
+            is JobAccess.Unrestricted -> null
+            is JobAccess.Anonymous -> ServiceReply.Unauthorized
+            is JobAccess.Member -> if (access.workspace == workspace) null else ServiceReply.NotFound
+        }
+    }
+
     private suspend fun readJob(call: ServiceCall.ReadJob, recipient: ReplyRecipient): ServiceReply {
-        val record = readLinearizable { machine.job(JobIdentifier(call.job)) }.getOrElse { return it }
-            ?: return ServiceReply.NotFound
+        val record = accessibleJob(JobIdentifier(call.job), call.access).getOrElse { return it }
         if (call.after > record.job.items.size) return ServiceReply.Invalid("position ${call.after} is past the end")
         awaitResult(record, call)
         if (!recipient.isWaiting) return CALLER_GONE
@@ -115,8 +148,19 @@
         return ServiceReply.Results(total, call.after, StateCodec.encode(packed))
     }
 
-    private fun readItem(call: ServiceCall.ReadItem): ServiceReply.Content? =
-        machine.job(JobIdentifier(call.job))?.item(RequestIdentifier(call.item))?.let { ServiceReply.Content(it.body) }
+    private fun readItem(call: ServiceCall.ReadItem): ServiceReply? {
+        val record = machine.job(JobIdentifier(call.job)) ?: return null
+        return denial(record, call.access)
+            ?: record.item(RequestIdentifier(call.item))?.let { ServiceReply.Content(it.body) }
+    }
+
+    private suspend fun endJob(call: ServiceCall.EndJob): ServiceReply {
+        val job = JobIdentifier(call.job)
+        if (call.access !is JobAccess.Unrestricted) {
+            accessibleJob(job, call.access).getOrElse { return it }
+        }
+        return propose(ServiceCommand.EndJob(job))
+    }
 
     private suspend fun replyAfterRead(read: () -> ServiceReply?): ServiceReply =
         readLinearizable(read).fold({ it }) { it ?: ServiceReply.NotFound }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/dialect/PlatformDialect.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/dialect/PlatformDialect.kt
@@ -73,6 +73,9 @@
     /** Identity of the only upstream that may run the request. */
     public val expectedUpstream: String
 
+    /** Name of the workspace on whose behalf a request is sent to an upstream. */
+    public val workspace: String
+
     /** Set by an upstream that did not run the request. */
     public val notRun: String
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -37,6 +37,7 @@
 import org.zinniahoist.model.Role
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.policy.liveness.LeavingUpstreams
+import org.zinniahoist.policy.routes.KeyFreshness
 import org.zinniahoist.policy.routes.LeastLatencyBalancer
 import org.zinniahoist.policy.routes.RouteTable
 import org.zinniahoist.settings.GatewaySettings
@@ -70,7 +71,8 @@
     private val memory = EntryMemory(Runtime.getRuntime().maxMemory())
     private val crashes =
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { core.report(it.toReport(clock())) }
-    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory, crashes)
+    private val keys = KeyFreshness(settings.revocation, settings.hasStrictRevocation)
+    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory, keys, crashes)
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ItemHeadersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/ItemHeadersTest.kt
@@ -12,6 +12,7 @@
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.policy.dispatch.DispatchAction
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.state.StateCodec
@@ -74,16 +75,23 @@
             .containsExactly("x-a: 1", "x-a: 2", "x-empty: ", "x-odd_name!: a;b,,\"c\\", "x-text: $bytes")
     }
 
+    /** Guards against an upstream that accounts an item to a workspace which has not submitted it. */
+    @Test
+    fun `an item runs with the workspace of its job`() {
+        run("X-Workspace" to "south", workspace = WorkspaceName("north"))
+        expectThat(upstream.headers.filter { it.startsWith("x-workspace") }).containsExactly("x-workspace: north")
+    }
+
     /** Returns the recorded fields but those of the process and of the HTTP library. */
     private fun sentFields(): List<String> =
         upstream.headers.map { it.replaceBefore(':', it.substringBefore(':').lowercase()) }
             .filterNot { it.startsWith("x-request") || it.startsWith("x-upstream") || it.startsWith("user-agent") }
             .sorted()
 
-    private fun run(vararg fields: Pair<String, String>): Unit = runBlocking {
+    private fun run(vararg fields: Pair<String, String>, workspace: WorkspaceName? = null): Unit = runBlocking {
         val headers = fields.map { (name, value) -> HeaderField(name, value) }
         val item = BatchItem(RequestIdentifier("a"), "/s/a", headers, byteArrayOf(1, 2), tokens = 8)
-        val job = BatchJob(JobIdentifier("j"), "h", "/s/", listOf(item))
+        val job = BatchJob(JobIdentifier("j"), "h", "/s/", listOf(item), workspace = workspace)
         machine.apply(1, 0, StateCodec.encode<ServiceCommand>(ServiceCommand.SubmitJob(job)))
         val observer = RecordingObserver()
         val listed = ListedUpstream(UpstreamIdentity("u1"), ServiceName("s"), upstream.endpoint, "a", 4, false)
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobCallHandlerTest.kt
@@ -21,6 +21,7 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.Revision
+import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
@@ -28,10 +29,13 @@
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceStateMachine
+import org.zinniahoist.wire.JobAccess
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import strikt.api.expectThat
+import strikt.assertions.containsExactly
 import strikt.assertions.isA
+import strikt.assertions.isEmpty
 import strikt.assertions.isEqualTo
 import strikt.assertions.isNull
 import java.nio.file.Path
@@ -85,10 +89,10 @@
         }
     }
 
-    private suspend fun submit() {
+    private suspend fun submit(workspace: WorkspaceName? = null) {
         withTimeout(BOUND) { while (!leader.status.isLeader) delay(1.milliseconds) }
         val item = BatchItem(RequestIdentifier("i"), "/p/", emptyList(), ByteArray(0), tokens = 1)
-        propose(ServiceCommand.SubmitJob(BatchJob(JobIdentifier("j"), "h", "/p/", listOf(item))))
+        propose(ServiceCommand.SubmitJob(BatchJob(JobIdentifier("j"), "h", "/p/", listOf(item), workspace = workspace)))
     }
 
     private suspend fun propose(command: ServiceCommand) {
@@ -159,21 +163,74 @@
         submit()
         val field = HeaderField("x a", "1")
         val item = BatchItem(RequestIdentifier("i"), "/p/", listOf(field), ByteArray(0), tokens = 1)
-        val dialect = object : PlatformDialect by StubDialect() {
-            override fun job(
-                identifier: String,
-                host: String,
-                path: String,
-                body: ByteArray,
-            ) = BatchJob(JobIdentifier(identifier), host, path, listOf(item)).right()
-        }
-        val reply = JobCallHandler(dialect, machine) { leader }
+        val reply = JobCallHandler(jobDialect(item), machine) { leader }
             .answer(ServiceCall.SubmitJob("h", "/p/", "k", ByteArray(0)))
         expectThat(reply).isEqualTo(ServiceReply.Invalid("item 0: malformed header name"))
         expectThat(machine.job(JobIdentifier("k"))).isNull()
     }
 
+    /** Guards against a job that is read or ended by callers of another workspace, or by callers without a key. */
+    @Test
+    fun `only its own workspace reads, ends or submits a job again`(): Unit = runBlocking {
+        submit(WorkspaceName("north"))
+        val replies = listOf(JobAccess.Member(WorkspaceName("south")), JobAccess.Anonymous, NORTH).map { access ->
+            listOf(
+                calls.answer(
+                    ServiceCall.ReadJob("j", after = 0, waitMilliseconds = 0, acceptsPacked = true, access = access),
+                ),
+                calls.answer(ServiceCall.ReadItem("j", "i", access)),
+                calls.answer(ServiceCall.SubmitJob("h", "/p/", "j", ByteArray(0), access)),
+                calls.answer(ServiceCall.EndJob("j", access)),
+            )
+        }
+        expectThat(replies[0].toSet()).containsExactly(ServiceReply.NotFound)
+        expectThat(replies[1].toSet()).containsExactly(ServiceReply.Unauthorized)
+        expectThat(replies[2].map { it::class }).containsExactly(
+            ServiceReply.Results::class,
+            ServiceReply.Content::class,
+            ServiceReply.Done::class,
+            ServiceReply.Done::class,
+        )
+    }
+
+    /** Guards against jobs of a public route, and of logs without workspaces, that nobody may read. */
+    @Test
+    fun `a job without a workspace needs no key`(): Unit = runBlocking {
+        submit()
+        for (access in listOf(JobAccess.Anonymous, NORTH)) {
+            expectThat(
+                calls.answer(
+                    ServiceCall.ReadJob("j", after = 0, waitMilliseconds = 0, acceptsPacked = true, access = access),
+                ),
+            )
+                .isA<ServiceReply.Results>()
+        }
+    }
+
+    /** Guards against items that run for another workspace than the one whose key submitted them. */
+    @Test
+    fun `a job belongs to the workspace of its caller, whatever its items name`(): Unit = runBlocking {
+        submit()
+        val fields = listOf(HeaderField("Authorization", "Bearer k"), HeaderField("X-Workspace", "south"))
+        val item = BatchItem(RequestIdentifier("i"), "/p/", fields, ByteArray(0), tokens = 1)
+        JobCallHandler(jobDialect(item), machine) { leader }
+            .answer(ServiceCall.SubmitJob("h", "/p/", "k", ByteArray(0), NORTH))
+        val job = machine.job(JobIdentifier("k"))?.job
+        expectThat(job?.workspace).isEqualTo(WorkspaceName("north"))
+        expectThat(job?.items.orEmpty().flatMap { it.headers }).isEmpty()
+    }
+
+    private fun jobDialect(item: BatchItem) = object : PlatformDialect by StubDialect() {
+        override fun job(
+            identifier: String,
+            host: String,
+            path: String,
+            body: ByteArray,
+        ) = BatchJob(JobIdentifier(identifier), host, path, listOf(item)).right()
+    }
+
     private companion object {
         val BOUND = 10.seconds
+        val NORTH = JobAccess.Member(WorkspaceName("north"))
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -4,6 +4,7 @@
 import arrow.core.right
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
+import com.linecorp.armeria.common.RequestHeaders
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.Server
 import kotlinx.coroutines.CoroutineScope
@@ -38,6 +39,7 @@
 import org.zinniahoist.policy.routes.ServiceConfiguration
 import org.zinniahoist.policy.routes.ServiceEntry
 import org.zinniahoist.policy.routes.ServiceShare
+import org.zinniahoist.policy.routes.Workspace
 import org.zinniahoist.settings.GatewayRole
 import org.zinniahoist.settings.GatewaySettings
 import org.zinniahoist.wire.HeartbeatContent
@@ -88,6 +90,13 @@
     @Volatile
     var limits: ClientLimits? = null
 
+    /** Workspaces in the next configuration that the entry reads. */
+    @Volatile
+    var workspaces: List<Workspace>? = null
+
+    /** Heads of the requests that have reached the upstream. */
+    val receivedHeads: MutableList<RequestHeaders> = CopyOnWriteArrayList()
+
     /** Number of times the entry has fetched the configuration that the core has applied. */
     val fetches: Int get() = replica.fetches.get()
 
@@ -141,6 +150,7 @@
                 HttpResponse.of("one page")
             } else {
                 receivedRequests += identifier
+                receivedHeads += request.headers()
                 val head = ResponseHeaders.builder(HttpStatus.OK)
                     .set(UpstreamFixture.Names.requestIdentifier, identifier)
                     .set(UpstreamFixture.Names.answerStamp, "s")
@@ -193,7 +203,8 @@
             val revision = Revision(document.decodeToString().toLong())
             activeRevisions += revision
             val route = ROUTE.copy(kind = kind)
-            return ServiceConfiguration(revision, listOf(route), listOf(ServiceEntry(SERVICE, 100)), limits).right()
+            val services = listOf(ServiceEntry(SERVICE, 100))
+            return ServiceConfiguration(revision, listOf(route), services, limits, workspaces).right()
         }
 
         override fun listPage(body: ByteArray): ListPage {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/RequestBodyTest.kt
@@ -25,6 +25,7 @@
 import org.zinniahoist.model.Region
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
+import org.zinniahoist.policy.routes.KeyFreshness
 import org.zinniahoist.policy.routes.LeastLatencyBalancer
 import org.zinniahoist.wire.LinkConnection
 import org.zinniahoist.wire.LinkLimits
@@ -41,6 +42,7 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.Executors
 import kotlin.concurrent.thread
+import kotlin.time.Duration.Companion.seconds
 
 /** Tests client requests whose bodies arrive before the entry consumes them. */
 internal class RequestBodyTest {
@@ -151,6 +153,7 @@
             fixture.clock,
             metrics,
             memory,
+            KeyFreshness(5.seconds, isStrict = false),
         )
     }
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -109,6 +109,7 @@
         override val remainingMilliseconds = "x-remaining"
         override val answerStamp = "x-stamp"
         override val expectedUpstream = "x-upstream"
+        override val workspace = "x-workspace"
         override val notRun = "x-not-run"
         override val upstreamLeaving = "x-leaving"
         override val weightVersion = "x-version"
--- a/model/src/main/kotlin/org/zinniahoist/model/Identifiers.kt
+++ b/model/src/main/kotlin/org/zinniahoist/model/Identifiers.kt
@@ -37,6 +37,13 @@
     override fun toString(): String = value
 }
 
+/** Name of a workspace, which owns the keys of a group of callers. */
+@JvmInline
+@Serializable
+public value class WorkspaceName(public val value: String) {
+    override fun toString(): String = value
+}
+
 /** Path of a branch in the settings tree, such as `root/hrubec/cz-central`. */
 @JvmInline
 @Serializable
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
@@ -24,6 +24,9 @@
 
     /** Upstreams crashed at earlier runs of the request. */
     CRASHES,
+
+    /** This process lost contact to the service group, so the key of the request may have been revoked. */
+    STALE_KEYS,
 }
 
 /** Computes the retry delay that a refused client is asked to observe. */
@@ -45,7 +48,7 @@
      */
     public fun after(cause: RefusalCause, remaining: Duration, random: Random): Duration {
         val preferredDelay = when (cause) {
-            RefusalCause.NO_CONFIGURATION, RefusalCause.NO_LEADER -> ELECTION_DELAY
+            RefusalCause.NO_CONFIGURATION, RefusalCause.NO_LEADER, RefusalCause.STALE_KEYS -> ELECTION_DELAY
             RefusalCause.NO_UPSTREAM, RefusalCause.NO_MEMORY -> NO_UPSTREAM_DELAY
             RefusalCause.STOPPING -> MINIMUM_DELAY
             RefusalCause.CRASHES -> CrashTable.RETENTION
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
@@ -2,6 +2,7 @@
 
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.WorkspaceName
 import kotlin.random.Random
 
 /** Matches requests to routes. Immutable, so that each request is handled under a single configuration. */
@@ -11,6 +12,15 @@
 
     /** Limits on the size of client requests, or null if the configuration sets none. */
     public val limits: ClientLimits? = configuration.limits
+
+    /** Whether the configuration has workspaces, so that callers need keys. */
+    public val hasWorkspaces: Boolean = configuration.workspaces != null
+    private val workspacesByKey = configuration.workspaces.orEmpty()
+        .flatMap { workspace -> workspace.keys.map { it to workspace } }
+        .toMap()
+    private val prioritiesByWorkspace = configuration.workspaces.orEmpty()
+        .mapNotNull { workspace -> workspace.priority?.let { workspace.name to it } }
+        .toMap()
     private val byHost = configuration.routes
         .groupBy { it.host }
         .mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
@@ -25,6 +35,13 @@
         }
         return null
     }
+
+    /** Returns the workspace to which [key] belongs, or null if no workspace has it. */
+    public fun workspaceOf(key: String): WorkspaceName? = workspacesByKey[key]?.name
+
+    /** Returns the priority of a request of [workspace] on [route]: that of the workspace, if it has one. */
+    public fun priorityOf(route: Route, workspace: WorkspaceName?): Int =
+        workspace?.let(prioritiesByWorkspace::get) ?: route.priority
 }
 
 /** Selects a service of the route at random, in proportion to the weights of its shares. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -2,6 +2,7 @@
 
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.ServiceName
+import org.zinniahoist.model.WorkspaceName
 import kotlin.time.Duration
 
 /** Retry semantics of the requests on a route. */
@@ -42,6 +43,8 @@
     /** Maximum number of upstreams to which one request is sent. */
     public val maximumAttempts: Int,
     public val batch: BatchTerms? = null,
+    /** Whether requests need no key, in a configuration with workspaces. */
+    public val isPublic: Boolean = false,
 ) {
     /** Services with a positive weight, to which requests of the route are sent. */
     public val services: Set<ServiceName>
@@ -65,6 +68,17 @@
     public val maximumConnections: Int,
 )
 
+/** A group of callers that share their jobs, and the keys with which they authenticate. */
+public class Workspace(
+    public val name: WorkspaceName,
+    public val keys: Set<String>,
+    /** Priority of the requests of the workspace, or null if the priority of their route applies. 0 is the highest. */
+    public val priority: Int? = null,
+) {
+    /** Omits the keys, because they are secret. */
+    override fun toString(): String = "Workspace($name, ${keys.size} keys, priority=$priority)"
+}
+
 /** Limits on the size of client requests, in bytes. */
 public data class ClientLimits(
     public val bodyBytes: Long,
@@ -77,6 +91,8 @@
     public val routes: List<Route>,
     public val services: List<ServiceEntry>,
     public val limits: ClientLimits?,
+    /** Workspaces whose keys callers need, or null if callers need no keys. */
+    public val workspaces: List<Workspace>? = null,
 )
 
 /** Validation error of a configuration. */
@@ -104,10 +120,30 @@
 
     /** The path prefix of a route doesn't begin and end with a slash. */
     public data class MalformedPrefix(public val route: String) : ConfigurationFault
+
+    /** Two workspaces have the same key, which is not part of the message because it is secret. */
+    public data class SharedKey(
+        public val workspace: WorkspaceName,
+        public val other: WorkspaceName,
+    ) : ConfigurationFault
 }
 
 /** Validates [configuration]. Returns the first error, or null if it is valid. */
-public fun faultOf(configuration: ServiceConfiguration): ConfigurationFault? {
+public fun faultOf(configuration: ServiceConfiguration): ConfigurationFault? =
+    routeFaultOf(configuration) ?: sharedKeyOf(configuration.workspaces.orEmpty())
+
+private fun sharedKeyOf(workspaces: List<Workspace>): ConfigurationFault.SharedKey? {
+    val owners = HashMap<String, WorkspaceName>()
+    for (workspace in workspaces) {
+        for (key in workspace.keys) {
+            val owner = owners.putIfAbsent(key, workspace.name)
+            if (owner != null && owner != workspace.name) return ConfigurationFault.SharedKey(owner, workspace.name)
+        }
+    }
+    return null
+}
+
+private fun routeFaultOf(configuration: ServiceConfiguration): ConfigurationFault? {
     val services = configuration.services.mapTo(HashSet()) { it.name }
     val hostsAndPrefixes = HashSet<Pair<String, String>>()
     return configuration.routes.firstNotNullOfOrNull { route ->
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -22,6 +22,7 @@
 }
 
 private val DEFAULT_DRAIN = 3.seconds
+private val DEFAULT_REVOCATION = 5.seconds
 
 /** Settings of one process of a gateway deployment. */
 public data class GatewaySettings(
@@ -54,6 +55,10 @@
     public val orderLease: Duration,
     /** Time for which an upstream accepts requests after it said that it is leaving. */
     public val drain: Duration = DEFAULT_DRAIN,
+    /** Time within which a revoked key must be refused. */
+    public val revocation: Duration = DEFAULT_REVOCATION,
+    /** Whether an entry refuses all keys once it has had no contact to the service group for [revocation]. */
+    public val hasStrictRevocation: Boolean = false,
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -79,6 +84,8 @@
         "times.grace-seconds" to grace,
         "times.order-lease-milliseconds" to orderLease,
         "times.drain-milliseconds" to drain,
+        "times.revoke-milliseconds" to revocation,
+        "keys.strict-revocation" to hasStrictRevocation,
     )
 }
 
@@ -133,13 +140,15 @@
         val readiness = endpoint("listen.readiness", isRequired = isEntry)
         val operators = endpoint("listen.operators", isRequired = role == GatewayRole.CORE)
         val seeds = required("group.seeds", "addresses host:port, with commas") { endpoints(it) }
-        val firstStart = required("group.first-start", "true, false") { it.toBooleanStrictOrNull() }
+        val firstStart = required("group.first-start", BOOLEAN) { it.toBooleanStrictOrNull() }
         val toleratedLosses =
             required("group.tolerated-losses", "0 to 10") { it.toIntOrNull()?.takeIf { n -> n in 0..10 } }
         val list = endpoint("platform.list", isRequired = true)
         val grace = required("times.grace-seconds", NUMBER) { it.toDoubleOrNull() }
         val lease = required("times.order-lease-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val drain = optional("times.drain-milliseconds", NUMBER) { it.toDoubleOrNull() }
+        val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
+        val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -161,6 +170,8 @@
             grace = checkNotNull(grace).seconds,
             orderLease = checkNotNull(lease).milliseconds,
             drain = drain?.milliseconds ?: DEFAULT_DRAIN,
+            revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
+            hasStrictRevocation = strictRevocation == true,
         )
     }
 
@@ -208,6 +219,7 @@
         val PORT_RANGE = 1..65_535
         const val TEXT = "a text"
         const val NUMBER = "a number"
+        const val BOOLEAN = "true, false"
         const val ADDRESS = "an address host:port"
     }
 }
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -103,7 +103,8 @@
                 "process.failure-domain, process.region, process.address, process.link-port, process.data-folder, " +
                 "listen.clients, listen.readiness, listen.operators, group.seeds, group.first-start, " +
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
-                "times.drain-milliseconds; did you mean 'process.link-port'?",
+                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation; " +
+                "did you mean 'process.link-port'?",
         )
     }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -8,6 +8,7 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.state.StateCodec
 
 /** Identifier of a batch job, chosen by its trainer. */
@@ -27,6 +28,8 @@
     public val items: List<BatchItem>,
     /** Requirements of the trainer's step, or null if the job belongs to no step. */
     public val step: StepTerms? = null,
+    /** Workspace that submitted the job, or null if callers needed no key for its route. */
+    public val workspace: WorkspaceName? = null,
 ) {
     /** Estimated number of tokens of all items. */
     public val expectedTokens: Long by lazy(LazyThreadSafetyMode.PUBLICATION) {
@@ -61,6 +64,10 @@
     /** Request that scores the text of the item once it is complete, or null if the item needs no score. */
     public val reward: RewardRequest? = null,
 ) {
+    /** Returns the item with other [headers]. */
+    public fun withHeaders(headers: List<HeaderField>): BatchItem =
+        BatchItem(identifier, path, headers, body, tokens, expectedTokens, group, reward)
+
     /** Estimated number of tokens of the item. */
     public val estimatedTokens: Int get() = expectedTokens ?: tokens
 }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
@@ -89,7 +89,7 @@
     @SerialName("fence")
     public data class Fence(public val token: FencingToken) : ServiceAnswer
 
-    /** The job was never submitted or has expired. */
+    /** The job was never submitted, has expired, or belongs to another workspace. */
     @Serializable
     @SerialName("unknown-job")
     public data object UnknownJob : ServiceAnswer
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -69,7 +69,7 @@
         when (command) {
             is ServiceCommand.AcceptConfiguration -> accept(StoredConfiguration(command.revision, command.document))
             is ServiceCommand.NameVersion -> setVersion(command)
-            is ServiceCommand.SubmitJob -> submit(command.job, timeMilliseconds)
+            is ServiceCommand.SubmitJob -> return submit(command.job, timeMilliseconds)
             is ServiceCommand.RecordResults -> return record(command, bytes)
             is ServiceCommand.RecordTexts -> return recordTexts(command)
             is ServiceCommand.EndJob -> return end(command.job)
@@ -92,11 +92,17 @@
         listener.onVersion(command.model, command.version)
     }
 
-    private fun submit(job: BatchJob, timeMilliseconds: Long) {
-        if (jobsByIdentifier.containsKey(job.identifier)) return
+    private fun submit(job: BatchJob, timeMilliseconds: Long): ServiceAnswer {
+        val known = jobsByIdentifier[job.identifier]
+        if (known != null) {
+            // Another workspace must not learn that the identifier is in use.
+            val isOwn = known.job.workspace == null || known.job.workspace == job.workspace
+            return if (isOwn) ServiceAnswer.Done else ServiceAnswer.UnknownJob
+        }
         val record = JobRecord(job, timeMilliseconds)
         jobsByIdentifier[job.identifier] = record
         listener.onJob(record)
+        return ServiceAnswer.Done
     }
 
     private fun record(command: ServiceCommand.RecordResults, bytes: ByteArray): ServiceAnswer {
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -8,6 +8,7 @@
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WorkspaceName
 
 /** Messages between entries and the replicas of the service group. */
 @Serializable
@@ -110,6 +111,7 @@
         public val path: String,
         public val job: String,
         @ByteString public val body: ByteArray,
+        public val access: JobAccess = JobAccess.Unrestricted,
     ) : ServiceCall
 
     /** Requests the results of a job from position [after] on, waiting up to [waitMilliseconds] if none exist yet. */
@@ -121,6 +123,7 @@
         public val waitMilliseconds: Long,
         /** Whether the caller also accepts [ServiceReply.Results]. */
         public val acceptsPacked: Boolean = false,
+        public val access: JobAccess = JobAccess.Unrestricted,
     ) : ServiceCall
 
     /** Requests the body of an item. */
@@ -129,12 +132,35 @@
     public data class ReadItem(
         public val job: String,
         public val item: String,
+        public val access: JobAccess = JobAccess.Unrestricted,
     ) : ServiceCall
 
     /** Ends a job. */
     @Serializable
     @SerialName("end-job")
-    public data class EndJob(public val job: String) : ServiceCall
+    public data class EndJob(
+        public val job: String,
+        public val access: JobAccess = JobAccess.Unrestricted,
+    ) : ServiceCall
+}
+
+/** Jobs that a caller may access, as established by the process that received its request. */
+@Serializable
+public sealed interface JobAccess {
+    /** All jobs, because the configuration has no workspaces. */
+    @Serializable
+    @SerialName("unrestricted")
+    public data object Unrestricted : JobAccess
+
+    /** Jobs without a workspace, because the caller has no key. */
+    @Serializable
+    @SerialName("anonymous")
+    public data object Anonymous : JobAccess
+
+    /** Jobs of [workspace] and those without one. */
+    @Serializable
+    @SerialName("member")
+    public data class Member(public val workspace: WorkspaceName) : JobAccess
 }
 
 /** Result that a [ServiceMessage.Reply] returns. */
@@ -176,6 +202,11 @@
     @SerialName("not-found")
     public data object NotFound : ServiceReply
 
+    /** The job belongs to a workspace and the caller has no key. */
+    @Serializable
+    @SerialName("unauthorized")
+    public data object Unauthorized : ServiceReply
+
     /** The request is malformed. */
     @Serializable
     @SerialName("invalid")
