--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
@@ -28,4 +28,6 @@
     public val refusalBackoff: Duration = 60.milliseconds,
     /** Time for which an item prefers other upstreams after a run of it broke, failed or was refused on one. */
     public val avoidanceDuration: Duration = 3_000.milliseconds,
+    /** Whether runs of long items move away from slow or loading upstreams when their job would be late otherwise. */
+    public val migratesOverdueRuns: Boolean = false,
 )
