Report the usage of workspaces to the platform

Cause: the platform wants one report for each window of five seconds, with the requests that ran for each workspace, from one process at a time.

Change: entries count each answered client request once and send cumulative counts to the leader each second if they changed. The leader closes windows in order in the log, six seconds after their end, and sends what the log holds with its fencing token, one call after another, while its leadership is confirmed within half of the lease. The new settings duties.* select the duties; without them nothing changes. The test that lists all keys of the settings lists the new ones.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -55,7 +55,8 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val thread = EngineThread(onFailure = onFailure)
     private val machine = ServiceStateMachine(this)
-    private val jobs = JobCallHandler(dialect, machine) { host }
+    private val usage = UsageReceiver(machine.usage)
+    private val jobs = JobCallHandler(dialect, machine, usage) { host }
     private val hello = LinkMessage.Hello(
         protocolVersion = LinkLimits.PROTOCOL_VERSION,
         instance = ReplicaGroup.instanceOf(settings),
@@ -71,7 +72,9 @@
     private val crashReports = CrashReportRelay(crashes, clock)
     private val links = CoreLinks(settings.machine, hello, jobs, scope, crashReports, clock)
     private val duties =
-        LeaderTasks(settings, dialect, machine, jobs, links, scope, thread, clock, metrics, crashes, leaving) { host }
+        LeaderTasks(settings, dialect, machine, jobs, links, scope, thread, clock, metrics, crashes, leaving, usage) {
+            host
+        }
     private val linkServer = LinkServer(
         Endpoint(settings.address, settings.linkPort),
         hello,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
@@ -33,6 +33,7 @@
 internal class JobCallHandler(
     private val dialect: PlatformDialect,
     private val machine: ServiceStateMachine,
+    private val usage: UsageReceiver = UsageReceiver(machine.usage),
     private val host: () -> GroupHost,
 ) {
     private val pages = ResultPages(dialect)
@@ -57,6 +58,7 @@
         is ServiceCall.ReadJob -> readJob(call, recipient)
         is ServiceCall.ReadItem -> replyAfterRead { readItem(call) }
         is ServiceCall.EndJob -> endJob(call)
+        is ServiceCall.ReportUsage -> usage.receive(call, host().status)
     }
 
     private fun applied(call: ServiceCall.AppliedConfiguration): ServiceReply =
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -7,17 +7,20 @@
 import kotlinx.coroutines.launch
 import org.zinniahoist.consensus.GroupHost
 import org.zinniahoist.consensus.GroupStatus
+import org.zinniahoist.gateway.dialect.DutyDialect
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.ListReader
 import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.model.FencingToken
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.WeightLoader
+import org.zinniahoist.policy.duty.UsageWindows
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.RouteTable
 import org.zinniahoist.settings.GatewaySettings
@@ -43,6 +46,7 @@
     private val metrics: GatewayMetrics,
     crashes: CrashGuard,
     private val leaving: LeavingUpstreams,
+    usage: UsageReceiver = UsageReceiver(machine.usage),
     private val host: () -> GroupHost,
 ) {
     private val calls = UpstreamCalls(dialect.headers, metrics, ::onLeaving)
@@ -63,6 +67,7 @@
     private val loader = WeightLoader(engine.registry)
     private val models = ModelLog(metrics)
     private var pendingRoutes: (() -> RouteTable?)? = null
+    private val duties = if (settings.duties.names.isEmpty()) null else leaderDuties(dialect.duties, usage)
     private val orders = WeightOrders(dialect, calls, loader, scope, thread::post, clock, ::confirmLeadership, metrics)
 
     /** Sizes of the in-memory state of item runs. Must be read on the engine thread. */
@@ -78,6 +83,7 @@
     fun tick(status: GroupStatus) {
         if (!status.isLeader) links.upstreams.stop()
         execute(leadership.onStatus(status.isLeader, status.term))
+        duties?.tick(leadership.isActive, clock())
         if (!leadership.isActive) return
         engine.tick()
         orders.tick(engine.needsSingleVersion(), engine::demand)
@@ -115,6 +121,7 @@
 
     private fun deactivate() {
         orders.authority = null
+        duties?.deactivate()
         engine.deactivate()
         loader.clear()
         models.clear()
@@ -124,19 +131,25 @@
 
     /** Obtains the fencing token through the log, so that all earlier commands are applied before it is known. */
     private suspend fun obtainFence(term: Long) {
+        val token = drawFence()
+        thread.post { execute(leadership.onFence(term, token)) }
+    }
+
+    private suspend fun drawFence(): FencingToken? {
         val command = StateCodec.encode<ServiceCommand>(ServiceCommand.DrawFence(settings.machine))
         val answer = host().propose(command).await()
-        val obtained = answer.getOrNull()?.let { StateCodec.decode<ServiceAnswer>(it) as? ServiceAnswer.Fence }
-        thread.post { execute(leadership.onFence(term, obtained?.token)) }
+        return answer.getOrNull()?.let { StateCodec.decode<ServiceAnswer>(it) as? ServiceAnswer.Fence }?.token
     }
 
     private fun activate(action: LeadershipAction.Activate) {
-        orders.authority = OrderAuthority(
+        val authority = OrderAuthority(
             settings.machine,
             action.fence,
             from = clock() + settings.orderLease,
             lease = settings.orderLease,
         )
+        orders.authority = authority
+        duties?.activate(authority, action.term)
         machine.versions.forEach { (model, version) -> loader.onPublished(model, version) }
         readRoutes()
         // Upstreams of a list that was read in an earlier term may be gone.
@@ -145,6 +158,37 @@
         logger.info { "event=jobs-taken term=${action.term} fence=${action.fence} jobs=${machine.jobs.size}" }
     }
 
+    private fun leaderDuties(dialect: DutyDialect, usage: UsageReceiver): LeaderDuties {
+        val dutyCalls = DutyCalls(
+            dialect,
+            scope,
+            thread::post,
+            clock,
+            ::confirmLeadership,
+            ::drawFence,
+            { headers, body ->
+                calls.wholeOnOwnConnection(settings.listEndpoint, headers, body, DutyCalls.CALL_TIMEOUT)?.status
+            },
+        )
+        val isReportingUsage = dialect.usageReports in settings.duties.names
+        val usageDuty = if (isReportingUsage) usageDuty(dialect, usage, dutyCalls) else null
+        return LeaderDuties(dutyCalls, usageDuty)
+    }
+
+    private fun usageDuty(dialect: DutyDialect, usage: UsageReceiver, dutyCalls: DutyCalls) = UsageDuty(
+        dialect,
+        UsageWindows(settings.duties.reportWindow, settings.duties.reportLateness),
+        LeaderDuties.callInterval(settings.duties),
+        machine.usage,
+        usage.aggregator,
+        scope,
+        thread::post,
+        clock,
+        dutyCalls::send,
+        { command, onReply -> propose(command) { onReply() } },
+        metrics,
+    )
+
     private suspend fun confirmLeadership(): Boolean = host().query(ByteArray(0)).await().isRight()
 
     private fun propose(command: ServiceCommand, onReply: (ServiceReply) -> Unit) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/dialect/PlatformDialect.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/dialect/PlatformDialect.kt
@@ -20,6 +20,9 @@
     /** Paths of outbound calls. */
     public val paths: OutboundPaths
 
+    /** Names and formats of the duties. */
+    public val duties: DutyDialect
+
     /** Decodes a client's call about a batch job, or returns null if the request is to be routed to an upstream. */
     public fun clientCall(method: String, path: String, query: String?): ClientCall?
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -68,6 +68,9 @@
     @Volatile
     var serviceEnd: Moment? = null
 
+    /** Counts the requests of workspaces, or null if usage is not reported. */
+    var usage: UsageRecorder? = null
+
     /** Number of requests without a complete response. */
     val requestsInFlight: Int get() = inFlight.get()
 
@@ -232,7 +235,16 @@
         val headers = authentication.forwardedHeaders(incoming.http.headers(), caller)
         val deadline = incoming.arrival + Forwarder.timeBudget(headers.get(names.remainingMilliseconds), route.timeout)
         val identifier = headers.get(names.requestIdentifier)
-        return ForwardedRequest(headers, body, identifier, route, deadline, incoming.response, incoming.guard)
+        return ForwardedRequest(
+            headers,
+            body,
+            identifier,
+            route,
+            deadline,
+            incoming.response,
+            incoming.guard,
+            usage?.newRequest(caller) ?: RequestUsage.NONE,
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -36,6 +36,7 @@
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.duty.UsageWindows
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.KeyFreshness
 import org.zinniahoist.policy.routes.LeastLatencyBalancer
@@ -67,7 +68,8 @@
         clock,
         leaving,
     )
-    private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello(), this, scope, clock)
+    private val hello = hello()
+    private val core = CoreClient(ReplicaGroup.seedsOf(settings), hello, this, scope, clock)
     private val memory = EntryMemory(Runtime.getRuntime().maxMemory())
     private val crashes =
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { core.report(it.toReport(clock())) }
@@ -77,6 +79,7 @@
     private lateinit var readinessServer: Server
 
     override fun start() {
+        if (dialect.duties.usageReports in settings.duties.names) startUsageRecorder()
         clientServer = startServer(checkNotNull(settings.clients)) { builder ->
             builder.childChannelPipelineCustomizer { it.addFirst(newFramingHandler()) }
             builder.http1MaxInitialLineLength(LIBRARY_HEAD_BYTES)
@@ -114,6 +117,11 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
+    private fun startUsageRecorder() {
+        val windows = UsageWindows(settings.duties.reportWindow, settings.duties.reportLateness)
+        http.usage = UsageRecorder(hello.incarnation, windows, core, clock, metrics).also { it.start(scope) }
+    }
+
     private fun newFramingHandler() = RequestFramingHandler(dialect.headers.requestIdentifier) { fault ->
         metrics.onEvent("request_malformed", fault.name.lowercase())
         logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -42,6 +42,7 @@
     /** Accounts for the bytes of its responses. */
     val reservation: ResponseMemory.Reservation,
     val guard: DispatchGuard,
+    val usage: RequestUsage = RequestUsage.NONE,
 ) {
     /** Marks the request as dispatched at [now]. Returns false if it must not be sent because of a shutdown. */
     fun tryDispatch(now: Moment): Boolean = guard.tryDispatch(route, deadline, now)
@@ -198,10 +199,13 @@
                     ResponseLimits.SINGLE,
                     request.identifier,
                 )
-                val outcome =
-                    classify(readWhole(response, names.requestIdentifier, request.identifier, request.reservation))
+                val answer = readWhole(response, names.requestIdentifier, request.identifier, request.reservation)
+                val outcome = classify(answer)
                 isSuccess = outcome is Outcome.Success
-                if (outcome is Outcome.Success || outcome is Outcome.Failed) crashes.onAnswered(request.content)
+                if (outcome is Outcome.Success || outcome is Outcome.Failed) {
+                    crashes.onAnswered(request.content)
+                    if (!answer.headers.contains(names.notRun)) request.usage.onAnswered(start)
+                }
                 return outcome
             } catch (cancelled: CancellationException) {
                 // Another attempt was faster, or the client disconnected: not an upstream failure within the target.
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -120,7 +120,11 @@
             val attempt =
                 if (head == null) Attempt.Lost("no response in time") else classify(request, head, response, split)
             started = attempt.takeIf { it is Attempt.Started }
-            if (started != null) crashes.onAnswered(request.content)
+            if (started != null) {
+                crashes.onAnswered(request.content)
+                // A stream begins to run with its first token, before which it may wait at the upstream.
+                request.usage.onAnswered(clock())
+            }
             return attempt
         } catch (cancelled: CancellationException) {
             throw cancelled
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CoreClient.kt
@@ -69,6 +69,9 @@
     /** Time since a replica that has caught up with its leader was in contact, or since the start. */
     public val contactAge: Duration get() = group.contactAge(clock())
 
+    /** Latest term of the service group in which a leader is known; 0 before the first. */
+    public val leaderTerm: Long get() = group.leaderTerm
+
     /** Number of replicas with an open link. */
     public val openLinks: Int get() = links.connected.size
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/GroupView.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/GroupView.kt
@@ -24,7 +24,6 @@
 ) {
     private val known = KnownReplicas()
     private var membersIndex = 0L
-    private var leaderTerm = 0L
     private var lastContact = now
 
     /** The newest members that a replica has announced; empty before the first announcement. */
@@ -37,6 +36,11 @@
     var leader: InstanceName? = null
         private set
 
+    /** The latest known term. */
+    @get:Synchronized
+    var leaderTerm = 0L
+        private set
+
     /** Replaces the seeds by those of the changed settings. */
     @Synchronized
     fun useSeeds(changed: Set<InstanceName>) {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/StubDialect.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/StubDialect.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import org.zinniahoist.gateway.dialect.ClientCall
+import org.zinniahoist.gateway.dialect.DutyDialect
 import org.zinniahoist.gateway.dialect.ListPage
 import org.zinniahoist.gateway.dialect.NamedVersion
 import org.zinniahoist.gateway.dialect.OperatorCall
@@ -26,6 +27,8 @@
         override fun list(token: String?): String = unused()
     }
 
+    override val duties: DutyDialect = StubDuties
+
     override fun report(body: ByteArray): UpstreamReport? = report
 
     override fun order(order: WeightOrder): ByteArray = order.toString().encodeToByteArray()
--- /dev/null
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/StubDuties.kt
@@ -0,0 +1,18 @@
+package org.zinniahoist.gateway.core
+
+import org.zinniahoist.gateway.dialect.DutyCall
+import org.zinniahoist.gateway.dialect.DutyDialect
+import org.zinniahoist.model.FencingToken
+import org.zinniahoist.model.WorkspaceName
+
+/** Duties whose calls are readable in assertions. */
+internal object StubDuties : DutyDialect {
+    override val usageReports = "usage"
+
+    override fun fields(holder: String, fence: FencingToken): Map<String, String> = mapOf(FENCE to "$fence")
+
+    override fun usageReport(window: Long, counts: Map<WorkspaceName, Long>): DutyCall =
+        DutyCall("/usage", "$window $counts".encodeToByteArray())
+
+    const val FENCE = "fence"
+}
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/UpstreamFixture.kt
@@ -38,6 +38,9 @@
     @Volatile
     var clockOffset: Duration = Duration.ZERO
 
+    /** Times at which requests ran, as recorded for their usage. */
+    val usage = CopyOnWriteArrayList<Moment>()
+
     fun upstream(answer: () -> HttpResponse) {
         val server = Server.builder().http(0).requestTimeoutMillis(0).serviceUnder("/") { _, _ -> answer() }.build()
         server.start().join()
@@ -76,6 +79,7 @@
             clock() + within,
             memory.newReservation(),
             guard,
+            { usage += it },
         )
     }
 
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -59,6 +59,8 @@
     public val revocation: Duration = DEFAULT_REVOCATION,
     /** Whether an entry refuses all keys once it has had no contact to the service group for [revocation]. */
     public val hasStrictRevocation: Boolean = false,
+    /** Duties that the leader of the service group performs for the platform. */
+    public val duties: DutySettings = DutySettings(),
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -86,7 +88,7 @@
         "times.drain-milliseconds" to drain,
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
-    )
+    ) + duties.values()
 }
 
 /** Reads and validates the INI file of a gateway process. Returns all errors at once. */
@@ -149,6 +151,7 @@
         val drain = optional("times.drain-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
+        val duties = duties()
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -172,9 +175,27 @@
             drain = drain?.milliseconds ?: DEFAULT_DRAIN,
             revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
             hasStrictRevocation = strictRevocation == true,
+            duties = duties,
         )
     }
 
+    private fun duties(): DutySettings {
+        val names = optional("duties.names", NAMES) { text -> text.split(',').map { it.trim() }.toSet() }
+        val callsPerSecond = optional("duties.calls-per-second", POSITIVE, ::positive)
+        val window = optional("duties.report-window-seconds", POSITIVE, ::positive)
+        val lateness = optional("duties.report-lateness-seconds", POSITIVE, ::positive)
+        val isFenceRequired = optional("duties.fence-required", BOOLEAN) { it.toBooleanStrictOrNull() }
+        return DutySettings(
+            names = names.orEmpty().filter { it.isNotEmpty() }.toSet(),
+            callsPerSecond = callsPerSecond ?: DutySettings.DEFAULT_CALLS_PER_SECOND,
+            reportWindow = window?.seconds ?: DutySettings.DEFAULT_REPORT_WINDOW,
+            reportLateness = lateness?.seconds ?: DutySettings.DEFAULT_REPORT_LATENESS,
+            isFenceRequired = isFenceRequired ?: true,
+        )
+    }
+
+    private fun positive(text: String): Double? = text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
+
     private fun endpoint(name: String, isRequired: Boolean): Endpoint? =
         if (isRequired) required(name, ADDRESS, Endpoint::parse) else optional(name, ADDRESS, Endpoint::parse)
 
@@ -219,6 +240,8 @@
         val PORT_RANGE = 1..65_535
         const val TEXT = "a text"
         const val NUMBER = "a number"
+        const val POSITIVE = "a positive number"
+        const val NAMES = "names, with commas"
         const val BOOLEAN = "true, false"
         const val ADDRESS = "an address host:port"
     }
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -55,6 +55,18 @@
         expectThat(drainOf("$core\ndrain-milliseconds =")).isEqualTo(3.seconds)
     }
 
+    /** Guards against duties that are performed, or not, against the file, and against a file that needs them. */
+    @Test
+    fun `take the duties from the file, or none`() {
+        fun dutiesOf(text: String) = GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it.duties })
+        expectThat(dutiesOf("$core\n[duties]\nnames = usage_report, autoscale\nreport-window-seconds = 4"))
+            .isEqualTo(DutySettings(names = setOf("usage_report", "autoscale"), reportWindow = 4.seconds))
+        expectThat(dutiesOf("$core\n[duties]\nnames =\ncalls-per-second =\nfence-required ="))
+            .isEqualTo(DutySettings())
+        expectThat(errors("$core\n[duties]\nreport-window-seconds = 0"))
+            .containsExactly("key 'duties.report-window-seconds' has value '0'; allowed: a positive number")
+    }
+
     /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
     @Test
     fun `name each key whose value differs`() {
@@ -103,7 +115,9 @@
                 "process.failure-domain, process.region, process.address, process.link-port, process.data-folder, " +
                 "listen.clients, listen.readiness, listen.operators, group.seeds, group.first-start, " +
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
-                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation; " +
+                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation, duties.names, " +
+                "duties.calls-per-second, duties.report-window-seconds, duties.report-lateness-seconds, " +
+                "duties.fence-required; " +
                 "did you mean 'process.link-port'?",
         )
     }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
@@ -11,6 +11,7 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.model.WorkspaceName
 
 /** Command to the [ServiceStateMachine]. Commands are idempotent, so that a retry has no further effect. */
 @Serializable
@@ -74,6 +75,19 @@
     @Serializable
     @SerialName("fence")
     public data class DrawFence(public val holder: String) : ServiceCommand
+
+    /** Closes a window of the usage reports with its final [counts], unless it or a later one is closed. */
+    @Serializable
+    @SerialName("close-usage")
+    public data class CloseUsageWindow(
+        public val window: Long,
+        public val counts: Map<WorkspaceName, Long>,
+    ) : ServiceCommand
+
+    /** Forgets the counts of a closed window, because the platform has accepted them or they are too old. */
+    @Serializable
+    @SerialName("usage-reported")
+    public data class UsageReported(public val window: Long) : ServiceCommand
 }
 
 /** Answer to a [ServiceCommand]. */
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -158,4 +158,5 @@
     val versions: Map<ModelName, WeightVersion>,
     val jobs: List<JobSnapshot>,
     val retirements: List<Retirement>,
+    val usage: UsageSnapshot = UsageSnapshot(),
 )
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -27,8 +27,8 @@
 }
 
 /**
- * Replicated state machine of the configuration, the newest weight versions, batch jobs with their results, and fencing
- * tokens.
+ * Replicated state machine of the configuration, the newest weight versions, batch jobs with their results, fencing
+ * tokens, and usage windows.
  *
  * @param retention time for which a job and its results are retained after the submission.
  * @param endedRetention time after the submission for which a job that its trainer has ended is retained.
@@ -56,6 +56,9 @@
     /** Replicas that are marked for removal, by the operator's name of the instance. */
     public val retirements: Map<String, Retirement> get() = retiringNodes
 
+    /** Closed windows of the usage reports. */
+    public val usage: UsageLedger = UsageLedger()
+
     /** Returns the job with [identifier], or null. */
     public fun job(identifier: JobIdentifier): JobRecord? = jobsByIdentifier[identifier]
 
@@ -75,6 +78,8 @@
             is ServiceCommand.EndJob -> return end(command.job)
             is ServiceCommand.RetireInstance -> retiringNodes[command.node] = Retirement(command.node, command.instance)
             is ServiceCommand.DrawFence -> return ServiceAnswer.Fence(FencingToken(index))
+            is ServiceCommand.CloseUsageWindow -> usage.close(command)
+            is ServiceCommand.UsageReported -> usage.forget(command.window)
         }
         return ServiceAnswer.Done
     }
@@ -140,6 +145,7 @@
             newestVersions.toMap(),
             jobs.map(JobSnapshot::of),
             retiringNodes.values.toList(),
+            usage.snapshot(),
         ),
     )
 
@@ -153,6 +159,7 @@
         newestVersions.putAll(state.versions)
         retiringNodes.keys.retainAll(state.retirements.map { it.node }.toSet())
         state.retirements.forEach { retiringNodes[it.node] = it }
+        usage.restore(state.usage)
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
         state.versions.forEach { (model, version) -> listener.onVersion(model, version) }
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -4,6 +4,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Revision
@@ -142,6 +143,17 @@
         public val job: String,
         public val access: JobAccess = JobAccess.Unrestricted,
     ) : ServiceCall
+
+    /**
+     * Reports the requests that the entry [incarnation] has counted, by window and workspace: all of them since its
+     * start, in each window that it does not know to be closed.
+     */
+    @Serializable
+    @SerialName("report-usage")
+    public data class ReportUsage(
+        public val incarnation: Incarnation,
+        public val windows: Map<Long, Map<WorkspaceName, Long>>,
+    ) : ServiceCall
 }
 
 /** Jobs that a caller may access, as established by the process that received its request. */
@@ -207,6 +219,14 @@
     @SerialName("unauthorized")
     public data object Unauthorized : ServiceReply
 
+    /** The leader of [term] has received the counts of an entry; windows up to [newestClosed] are closed. */
+    @Serializable
+    @SerialName("usage-received")
+    public data class UsageReceived(
+        public val term: Long,
+        public val newestClosed: Long?,
+    ) : ServiceReply
+
     /** The request is malformed. */
     @Serializable
     @SerialName("invalid")
