Bound the live requests in flight of an entry

Cause: an entry sends each live request at once. Above the capacity of a service all requests queue at its upstreams together, whatever their priority or workspace, and all are late.

AdaptiveAdmission bounds the requests in flight to a service by a limit that halves on refusals and late answers and rises with each answer in the target. Others wait by priority, by the workspace with the fewest in flight and by arrival, or are refused before they are sent. Each refused request is told a later place than the one before. The setting scheduling.live-admission is none (UnlimitedAdmission, the default) or adaptive. GatewaySettingsTest lists the new key among the known ones.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -47,10 +47,11 @@
     private val keys: KeyFreshness,
     crashes: CrashGuard = PermissiveCrashGuard,
     private val random: Random = Random.Default,
+    private val gate: AdmissionGate = AdmissionGate.open(clock),
 ) : HttpService {
     private val names = dialect.headers
-    private val forwarder = Forwarder(names, calls, directory, clock, random, crashes)
-    private val streams = StreamForwarder(names, calls, directory, scope, clock, random, crashes)
+    private val forwarder = Forwarder(names, calls, directory, clock, random, crashes, gate)
+    private val streams = StreamForwarder(names, calls, directory, scope, clock, random, crashes, gate)
     private val authentication = CallerAuthentication(names)
     private val refusals = Refusals(names, metrics, random)
     private val jobs = JobRequests(dialect, core, metrics, refusals)
@@ -167,10 +168,10 @@
         return when (route.kind) {
             RouteKind.BATCH -> jobs.submit(incoming, host, path, body, caller)
 
-            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(incoming, body, route, caller))
+            RouteKind.EVENT_STREAM -> stream(request, forwardedRequest(incoming, body, route, caller, table))
 
             RouteKind.REPEATABLE, RouteKind.AT_MOST_ONCE ->
-                forward(incoming, forwardedRequest(incoming, body, route, caller), table)
+                forward(incoming, forwardedRequest(incoming, body, route, caller, table), table)
         }
     }
 
@@ -204,6 +205,7 @@
         return when (forwarded) {
             is Forwarded.Answer -> respond(forwarded.answer)
             is Forwarded.NotRun -> refusals.refuse(request, refusalCause(), forwarded.reason)
+            is Forwarded.NotAdmitted -> refusals.refuseForCapacity(request, forwarded.expectedWait)
             is Forwarded.Blocked -> refusals.refuse(request, RefusalCause.CRASHES, forwarded.reason)
             is Forwarded.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
         }
@@ -216,6 +218,7 @@
         when (val stream = streams.forward(forwardedRequest)) {
             is ForwardedStream.Started -> stream.response
             is ForwardedStream.NotRun -> refusals.refuse(request, refusalCause(), stream.reason)
+            is ForwardedStream.NotAdmitted -> refusals.refuseForCapacity(request, stream.expectedWait)
             is ForwardedStream.Blocked -> refusals.refuse(request, RefusalCause.CRASHES, stream.reason)
             is ForwardedStream.NoAnswer -> HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
         }
@@ -228,11 +231,24 @@
         body: RequestBody,
         route: Route,
         caller: Caller,
+        table: RouteTable,
     ): ForwardedRequest {
+        val workspace = (caller as? Caller.Member)?.workspace
         val headers = authentication.forwardedHeaders(incoming.http.headers(), caller)
         val deadline = incoming.arrival + Forwarder.timeBudget(headers.get(names.remainingMilliseconds), route.timeout)
         val identifier = headers.get(names.requestIdentifier)
-        return ForwardedRequest(headers, body, identifier, route, deadline, incoming.response, incoming.guard)
+        return ForwardedRequest(
+            headers,
+            body,
+            identifier,
+            route,
+            deadline,
+            incoming.response,
+            incoming.guard,
+            table.priorityOf(route, workspace),
+            workspace,
+            incoming.arrival,
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -36,11 +36,14 @@
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.live.AdaptiveAdmission
+import org.zinniahoist.policy.live.AdmissionFigures
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.KeyFreshness
 import org.zinniahoist.policy.routes.LeastLatencyBalancer
 import org.zinniahoist.policy.routes.RouteTable
 import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.settings.LiveAdmissionMode
 import org.zinniahoist.wire.LinkConnection
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
@@ -72,7 +75,20 @@
     private val crashes =
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { core.report(it.toReport(clock())) }
     private val keys = KeyFreshness(settings.revocation, settings.hasStrictRevocation)
-    private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory, keys, crashes)
+    private val gate = newGate()
+    private val http = EntryHttp(
+        dialect,
+        core,
+        directory,
+        calls,
+        scope,
+        clock,
+        metrics,
+        memory,
+        keys,
+        crashes,
+        gate = gate,
+    )
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
 
@@ -108,6 +124,7 @@
             core.contactAge.toDouble(DurationUnit.SECONDS)
         }
         metrics.gauge("zinniahoist_group_links", "Open links to replicas of the service group.") { core.openLinks }
+        registerAdmissionGauges()
         core.start()
         scope.launch { calls.prepare() }
         scope.launch { directory.refreshPeriodically() }
@@ -119,6 +136,21 @@
         logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
     }
 
+    private fun newGate(): AdmissionGate = when (settings.liveAdmission) {
+        LiveAdmissionMode.NONE -> AdmissionGate.open(clock)
+        LiveAdmissionMode.ADAPTIVE -> AdmissionGate(AdaptiveAdmission(), directory::capacity, clock)
+    }
+
+    private fun registerAdmissionGauges() {
+        fun register(name: String, help: String, figure: (AdmissionFigures) -> Int) =
+            metrics.gauges("zinniahoist_admission_$name", help, "service") {
+                gate.figures().entries.associate { (service, figures) -> service.value to figure(figures) }
+            }
+        register("limit", "Most live requests in flight to a service, by service.") { it.limit }
+        register("in_flight", "Live requests in flight to a service, by service.") { it.inFlight }
+        register("waiting", "Live requests that wait for a place, by service.") { it.waiting }
+    }
+
     private fun onLeaving(upstream: UpstreamIdentity) {
         if (directory.onLeaving(upstream)) metrics.onEvent("upstream_leaving", "response")
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/ForwardedOutcome.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/ForwardedOutcome.kt
@@ -5,6 +5,7 @@
     get() = when (this) {
         is Forwarded.Answer -> "answered"
         is Forwarded.NotRun -> "not_run"
+        is Forwarded.NotAdmitted -> "not_admitted"
         is Forwarded.Blocked -> "blocked"
         is Forwarded.NoAnswer -> "no_answer"
     }
@@ -14,6 +15,7 @@
     get() = when (this) {
         is Forwarded.Answer -> answer.status.toString()
         is Forwarded.NotRun -> "not-run reason=\"$reason\""
+        is Forwarded.NotAdmitted -> "not-admitted expected-wait=$expectedWait"
         is Forwarded.Blocked -> "blocked reason=\"$reason\""
         is Forwarded.NoAnswer -> "no-answer reason=\"$reason\""
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -24,7 +24,11 @@
 import org.zinniahoist.gateway.upstream.readWhole
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.model.WorkspaceName
+import org.zinniahoist.policy.live.AttemptOutcome
+import org.zinniahoist.policy.live.LiveRequest
 import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.policy.routes.drawService
@@ -42,7 +46,17 @@
     /** Accounts for the bytes of its responses. */
     val reservation: ResponseMemory.Reservation,
     val guard: DispatchGuard,
+    /** Priority of the request among others that wait for the same service. */
+    private val priority: Int = route.priority,
+    private val workspace: WorkspaceName? = null,
+    arrival: Moment = deadline - route.timeout,
 ) {
+    /** Moment until which the response has its full value. */
+    private val targetEnd = minOf(deadline, arrival + route.target)
+
+    /** Returns this request as the admission to [service] sees it. */
+    fun live(service: ServiceName) = LiveRequest(service, priority, workspace, route.target, targetEnd)
+
     /** Marks the request as dispatched at [now]. Returns false if it must not be sent because of a shutdown. */
     fun tryDispatch(now: Moment): Boolean = guard.tryDispatch(route, deadline, now)
 
@@ -58,6 +72,9 @@
     /** No upstream has run the request, and none will. */
     data class NotRun(val reason: String) : Forwarded
 
+    /** Like [NotRun], because the service has no capacity; a place is expected after [expectedWait]. */
+    data class NotAdmitted(val expectedWait: Duration) : Forwarded
+
     /** Like [NotRun], because upstreams crashed at earlier runs of the request. */
     data class Blocked(val reason: String) : Forwarded
 
@@ -76,11 +93,19 @@
     private val clock: () -> Moment,
     private val random: Random = Random.Default,
     private val crashes: CrashGuard = PermissiveCrashGuard,
+    private val gate: AdmissionGate = AdmissionGate.open(clock),
 ) {
     suspend fun forward(request: ForwardedRequest): Forwarded {
         crashes.refusalReason(request.content)?.let { return Forwarded.Blocked(it) }
-        return withTimeoutOrNull(request.deadline - clock()) { Attempts(request).run() }
-            ?: Forwarded.NoAnswer("no response in time")
+        val service = request.route.drawService(random)
+        return when (val entrance = gate.enter(request, service)) {
+            is AdmissionGate.Entrance.Refused -> Forwarded.NotAdmitted(entrance.expectedWait)
+
+            is AdmissionGate.Entrance.Admitted -> entrance.place.use { place ->
+                withTimeoutOrNull(request.deadline - clock()) { Attempts(request, service, place).run() }
+                    ?: Forwarded.NoAnswer("no response in time")
+            }
+        }
     }
 
     private sealed interface Outcome {
@@ -94,10 +119,13 @@
     }
 
     /** Runs all attempts at one request. */
-    private inner class Attempts(private val request: ForwardedRequest) {
+    private inner class Attempts(
+        private val request: ForwardedRequest,
+        private val service: ServiceName,
+        private val place: AdmissionGate.Place,
+    ) {
         private val route = request.route
         private val isRepeatable = route.kind == RouteKind.REPEATABLE
-        private val service = route.drawService(random)
         private val tried = HashSet<UpstreamIdentity>()
         private val outcomes = Channel<Outcome>(Channel.UNLIMITED)
         private val jobs = ArrayList<Job>()
@@ -190,6 +218,8 @@
         private suspend fun attempt(upstream: ListedUpstream, number: Int): Outcome {
             val start = clock()
             var isSuccess = false
+            var load = AttemptOutcome.OTHER
+            place.onAttempt()
             try {
                 val response = calls.open(
                     upstream.endpoint,
@@ -198,8 +228,9 @@
                     ResponseLimits.SINGLE,
                     request.identifier,
                 )
-                val outcome =
-                    classify(readWhole(response, names.requestIdentifier, request.identifier, request.reservation))
+                val answer = readWhole(response, names.requestIdentifier, request.identifier, request.reservation)
+                val outcome = classify(answer)
+                load = loadOutcome(outcome, answer)
                 isSuccess = outcome is Outcome.Success
                 if (outcome is Outcome.Success || outcome is Outcome.Failed) crashes.onAnswered(request.content)
                 return outcome
@@ -217,9 +248,16 @@
                 return if (UpstreamCalls.isUnsent(failure)) Outcome.NotRun else Outcome.Lost(cause)
             } finally {
                 upstreams.onEnded(upstream.identity, clock() - start, isSuccess)
+                place.onAttemptEnded(load, start)
             }
         }
 
+        private fun loadOutcome(outcome: Outcome, answer: WholeAnswer): AttemptOutcome = when (outcome) {
+            is Outcome.Success -> AttemptOutcome.ANSWERED
+            is Outcome.NotRun -> AdmissionGate.outcomeOfRefusal(answer.status)
+            is Outcome.Failed, is Outcome.Lost -> AttemptOutcome.OTHER
+        }
+
         private fun classify(answer: WholeAnswer): Outcome = when {
             answer.headers.contains(names.notRun) && answer.status != BAD_REQUEST -> Outcome.NotRun
             answer.status == MISDIRECTED_REQUEST -> Outcome.NotRun
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Refusals.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Refusals.kt
@@ -12,6 +12,7 @@
 import org.zinniahoist.policy.routes.RetryAfterPolicy
 import java.util.Locale
 import kotlin.random.Random
+import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
 
 /** Builds and logs the responses to requests that this process refuses before they have run. */
@@ -21,10 +22,25 @@
     private val random: Random,
 ) {
     /** Returns a 503 with a retry-after header for a request that has not run and will not run. */
-    fun refuse(request: HttpRequest, cause: RefusalCause, reason: String): HttpResponse {
+    fun refuse(request: HttpRequest, cause: RefusalCause, reason: String): HttpResponse =
+        refuse(request, cause, reason, RetryAfterPolicy.after(cause, remainingOf(request), random))
+
+    /** Returns a 503 for a request that was not admitted, and for which a place is expected after [wait]. */
+    fun refuseForCapacity(request: HttpRequest, wait: Duration): HttpResponse {
+        val after = RetryAfterPolicy.afterWait(wait, remainingOf(request), random)
+        return refuse(request, RefusalCause.NO_CAPACITY, "expected wait $wait", after)
+    }
+
+    private fun remainingOf(request: HttpRequest): Duration =
+        Forwarder.timeBudget(request.headers().get(names.remainingMilliseconds), DEFAULT_TIME_BUDGET)
+
+    private fun refuse(
+        request: HttpRequest,
+        cause: RefusalCause,
+        reason: String,
+        after: Duration,
+    ): HttpResponse {
         val identifier = request.headers().get(names.requestIdentifier)
-        val remaining = Forwarder.timeBudget(request.headers().get(names.remainingMilliseconds), DEFAULT_TIME_BUDGET)
-        val after = RetryAfterPolicy.after(cause, remaining, random)
         metrics.onEvent("refusal", cause.name.lowercase())
         logger.info { "event=refused request=$identifier cause=$cause reason=\"$reason\" retry-after=$after" }
         val seconds = after.inWholeMilliseconds / MILLISECONDS_PER_SECOND
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -28,8 +28,11 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.live.AttemptOutcome
 import org.zinniahoist.policy.routes.drawService
+import java.util.concurrent.CompletableFuture
 import kotlin.random.Random
+import kotlin.time.Duration
 
 /** Outcome of starting to forward a stream. */
 internal sealed interface ForwardedStream {
@@ -39,6 +42,9 @@
     /** No upstream has run the request, and none will. */
     data class NotRun(val reason: String) : ForwardedStream
 
+    /** Like [NotRun], because the service has no capacity; a place is expected after [expectedWait]. */
+    data class NotAdmitted(val expectedWait: Duration) : ForwardedStream
+
     /** Like [NotRun], because upstreams crashed at earlier runs of the request. */
     data class Blocked(val reason: String) : ForwardedStream
 
@@ -59,11 +65,19 @@
     private val clock: () -> Moment,
     private val random: Random = Random.Default,
     private val crashes: CrashGuard = PermissiveCrashGuard,
+    private val gate: AdmissionGate = AdmissionGate.open(clock),
 ) {
     private sealed interface Attempt {
-        class Started(val response: HttpResponse) : Attempt
+        /** [whenComplete] completes when the upstream's response has ended or was aborted. */
+        class Started(
+            val response: HttpResponse,
+            val whenComplete: CompletableFuture<Void>,
+        ) : Attempt
 
-        data class NotRun(val reason: String) : Attempt
+        data class NotRun(
+            val reason: String,
+            val load: AttemptOutcome = AttemptOutcome.OTHER,
+        ) : Attempt
 
         data class Lost(val reason: String) : Attempt
     }
@@ -71,6 +85,31 @@
     suspend fun forward(request: ForwardedRequest): ForwardedStream {
         crashes.refusalReason(request.content)?.let { return ForwardedStream.Blocked(it) }
         val service = request.route.drawService(random)
+        return when (val entrance = gate.enter(request, service)) {
+            is AdmissionGate.Entrance.Refused -> ForwardedStream.NotAdmitted(entrance.expectedWait)
+            is AdmissionGate.Entrance.Admitted -> forwardWithin(entrance.place, request, service)
+        }
+    }
+
+    /** Holds [place] until the stream has ended or was not begun. */
+    private suspend fun forwardWithin(
+        place: AdmissionGate.Place,
+        request: ForwardedRequest,
+        service: ServiceName,
+    ): ForwardedStream {
+        var isBegun = false
+        try {
+            return forward(place, request, service).also { isBegun = it is ForwardedStream.Started }
+        } finally {
+            if (!isBegun) place.close()
+        }
+    }
+
+    private suspend fun forward(
+        place: AdmissionGate.Place,
+        request: ForwardedRequest,
+        service: ServiceName,
+    ): ForwardedStream {
         val tried = HashSet<UpstreamIdentity>()
         var attempts = 0
         while (attempts < request.route.maximumAttempts) {
@@ -78,14 +117,19 @@
             val upstream = upstreams.choose(service, tried) ?: chooseForRetry(request, service, attempts) ?: break
             tried += upstream.identity
             attempts++
-            val attempt = attempt(request, upstream)
+            val attempt = attempt(place, request, upstream)
             logger.info {
                 "event=stream request=${request.identifier} upstream=${upstream.identity} attempt=$attempts " +
                     "outcome=${logText(attempt)}"
             }
             when (attempt) {
-                is Attempt.Started -> return ForwardedStream.Started(attempt.response)
+                is Attempt.Started -> {
+                    attempt.whenComplete.handle { _, _ -> place.close() }
+                    return ForwardedStream.Started(attempt.response)
+                }
+
                 is Attempt.Lost -> return ForwardedStream.NoAnswer(attempt.reason)
+
                 is Attempt.NotRun -> Unit
             }
         }
@@ -109,8 +153,28 @@
         is Attempt.Lost -> "lost reason=\"${attempt.reason}\""
     }
 
-    private suspend fun attempt(request: ForwardedRequest, upstream: ListedUpstream): Attempt {
+    private suspend fun attempt(
+        place: AdmissionGate.Place,
+        request: ForwardedRequest,
+        upstream: ListedUpstream,
+    ): Attempt {
         val start = clock()
+        var load = AttemptOutcome.OTHER
+        place.onAttempt()
+        try {
+            return attempt(request, upstream, start).also { load = loadOutcome(it) }
+        } finally {
+            place.onAttemptEnded(load, start)
+        }
+    }
+
+    private fun loadOutcome(attempt: Attempt): AttemptOutcome = when (attempt) {
+        is Attempt.Started -> AttemptOutcome.ANSWERED
+        is Attempt.NotRun -> attempt.load
+        is Attempt.Lost -> AttemptOutcome.OTHER
+    }
+
+    private suspend fun attempt(request: ForwardedRequest, upstream: ListedUpstream, start: Moment): Attempt {
         var started: Attempt? = null
         val headers = headersFor(request, upstream)
         val response = calls.open(upstream.endpoint, headers, request.body, ResponseLimits.STREAM, request.identifier)
@@ -143,11 +207,16 @@
         val echoed = head.get(names.requestIdentifier)
         return when {
             echoed != request.identifier -> Attempt.Lost("response echoes request $echoed")
-            head.contains(names.notRun) -> Attempt.NotRun("refused with ${head.status().code()}")
+            head.contains(names.notRun) -> {
+                val status = head.status().code()
+                Attempt.NotRun("refused with $status", AdmissionGate.outcomeOfRefusal(status))
+            }
+
             head.status().code() == MISDIRECTED_REQUEST -> Attempt.NotRun("address belongs to another upstream")
             head.status().isSuccess && !head.contains(names.answerStamp) -> Attempt.Lost("stamp missing")
             else -> Attempt.Started(
                 HttpResponse.of(ForwardedFields.response(head), limitEvents(head, response, split.body())),
+                response.whenComplete(),
             )
         }
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UpstreamDirectory.kt
@@ -7,6 +7,7 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.live.ServiceCapacity
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.LoadBalancer
 import kotlin.time.Duration
@@ -84,6 +85,10 @@
     override fun onEnded(upstream: UpstreamIdentity, latency: Duration, isSuccess: Boolean) =
         chooser.onEnded(upstream, latency, isSuccess, clock())
 
+    /** Returns the upstreams of [service] that are not leaving, and their slots. */
+    @Synchronized
+    fun capacity(service: ServiceName): ServiceCapacity = chooser.capacity(service)
+
     /** Reads the list whenever no update has arrived for [STALE_AFTER]. Runs until it is cancelled. */
     suspend fun refreshPeriodically() {
         while (true) {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -42,6 +42,7 @@
 import org.zinniahoist.policy.routes.Workspace
 import org.zinniahoist.settings.GatewayRole
 import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.settings.LiveAdmissionMode
 import org.zinniahoist.wire.HeartbeatContent
 import org.zinniahoist.wire.LinkCloseCause
 import org.zinniahoist.wire.LinkConnection
@@ -73,6 +74,7 @@
     private val kind: RouteKind = RouteKind.REPEATABLE,
     private val otherUpstream: Endpoint? = null,
     seedHost: String = HOST,
+    private val liveAdmission: LiveAdmissionMode = LiveAdmissionMode.NONE,
 ) : AutoCloseable {
     private val clock = { Moment(System.nanoTime()) }
     private val upstream = startUpstream()
@@ -179,6 +181,7 @@
         listEndpoint = Endpoint(HOST, upstream.activeLocalPort()),
         grace = grace,
         orderLease = 1.seconds,
+        liveAdmission = liveAdmission,
     )
 
     private fun hello() = LinkMessage.Hello(
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/LoadBalancer.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/LoadBalancer.kt
@@ -4,6 +4,7 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.live.ServiceCapacity
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
@@ -32,6 +33,9 @@
 
     /** Returns the number of upstreams of [service] that are not leaving. */
     public fun count(service: ServiceName): Int
+
+    /** Returns the number of upstreams of [service] that are not leaving, and their slots. */
+    public fun capacity(service: ServiceName): ServiceCapacity
 }
 
 /**
@@ -98,6 +102,11 @@
     override fun count(service: ServiceName): Int =
         states.values.count { it.listed.service == service && !it.listed.isLeaving }
 
+    override fun capacity(service: ServiceName): ServiceCapacity {
+        val serving = states.values.filter { it.listed.service == service && !it.listed.isLeaving }
+        return ServiceCapacity(serving.size, serving.sumOf { it.listed.slots })
+    }
+
     private class UpstreamState(var listed: ListedUpstream) {
         var inFlight = 0
         var failures = 0
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RetryAfterPolicy.kt
@@ -25,6 +25,9 @@
     /** Upstreams crashed at earlier runs of the request. */
     CRASHES,
 
+    /** The requests in flight to the service are at the limit of this process, and the wait would be too long. */
+    NO_CAPACITY,
+
     /** This process lost contact to the service group, so the key of the request may have been revoked. */
     STALE_KEYS,
 }
@@ -39,6 +42,9 @@
 
     /** Share of the delay over which retries are randomly distributed. */
     private const val JITTER_SHARE = 0.25
+
+    /** Share of an expected wait that is added at random. */
+    private const val WAIT_JITTER_SHARE = 0.5
     private val NO_UPSTREAM_DELAY = 400.milliseconds
     private val MINIMUM_DELAY = 50.milliseconds
 
@@ -49,11 +55,21 @@
     public fun after(cause: RefusalCause, remaining: Duration, random: Random): Duration {
         val preferredDelay = when (cause) {
             RefusalCause.NO_CONFIGURATION, RefusalCause.NO_LEADER, RefusalCause.STALE_KEYS -> ELECTION_DELAY
-            RefusalCause.NO_UPSTREAM, RefusalCause.NO_MEMORY -> NO_UPSTREAM_DELAY
+            RefusalCause.NO_UPSTREAM, RefusalCause.NO_MEMORY, RefusalCause.NO_CAPACITY -> NO_UPSTREAM_DELAY
             RefusalCause.STOPPING -> MINIMUM_DELAY
             RefusalCause.CRASHES -> CrashTable.RETENTION
         }
         val boundedDelay = minOf(preferredDelay, remaining * MAXIMUM_SHARE_OF_REMAINING)
         return (boundedDelay * (1 - JITTER_SHARE * random.nextDouble())).coerceAtLeast(MINIMUM_DELAY)
     }
+
+    /**
+     * Returns the delay after which a client may retry for which a place is expected after [expectedWait]. [remaining]
+     * is the time until the client gives up on the request.
+     */
+    public fun afterWait(expectedWait: Duration, remaining: Duration, random: Random): Duration {
+        val longest = remaining * MAXIMUM_SHARE_OF_REMAINING / (1 + WAIT_JITTER_SHARE)
+        val boundedWait = minOf(expectedWait, longest).coerceAtLeast(MINIMUM_DELAY)
+        return boundedWait * (1 + WAIT_JITTER_SHARE * random.nextDouble())
+    }
 }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -21,6 +21,15 @@
     CORE,
 }
 
+/** How an entry bounds its live requests in flight to a service. */
+public enum class LiveAdmissionMode {
+    /** Each request is sent at once. */
+    NONE,
+
+    /** A limit adapts to the answers of the upstreams. */
+    ADAPTIVE,
+}
+
 private val DEFAULT_DRAIN = 3.seconds
 private val DEFAULT_REVOCATION = 5.seconds
 
@@ -59,6 +68,8 @@
     public val revocation: Duration = DEFAULT_REVOCATION,
     /** Whether an entry refuses all keys once it has had no contact to the service group for [revocation]. */
     public val hasStrictRevocation: Boolean = false,
+    /** How an entry bounds its live requests in flight. */
+    public val liveAdmission: LiveAdmissionMode = LiveAdmissionMode.NONE,
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -86,6 +97,7 @@
         "times.drain-milliseconds" to drain,
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
+        "scheduling.live-admission" to liveAdmission,
     )
 }
 
@@ -149,6 +161,9 @@
         val drain = optional("times.drain-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
+        val liveAdmission = optional("scheduling.live-admission", "none, adaptive") { text ->
+            LiveAdmissionMode.entries.find { it.name.lowercase() == text }
+        }
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -172,6 +187,7 @@
             drain = drain?.milliseconds ?: DEFAULT_DRAIN,
             revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
             hasStrictRevocation = strictRevocation == true,
+            liveAdmission = liveAdmission ?: LiveAdmissionMode.NONE,
         )
     }
 
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -55,6 +55,18 @@
         expectThat(drainOf("$core\ndrain-milliseconds =")).isEqualTo(3.seconds)
     }
 
+    /** Guards against a deployment that bounds its requests without a setting, or not with it. */
+    @Test
+    fun `take the admission of live requests from the file, or none`() {
+        fun modeOf(text: String) =
+            GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it.liveAdmission })
+        expectThat(modeOf(core)).isEqualTo(LiveAdmissionMode.NONE)
+        expectThat(modeOf("$core\n[scheduling]\nlive-admission = none")).isEqualTo(LiveAdmissionMode.NONE)
+        expectThat(modeOf("$core\n[scheduling]\nlive-admission = adaptive")).isEqualTo(LiveAdmissionMode.ADAPTIVE)
+        expectThat(errors("$core\n[scheduling]\nlive-admission = Adaptive"))
+            .containsExactly("key 'scheduling.live-admission' has value 'Adaptive'; allowed: none, adaptive")
+    }
+
     /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
     @Test
     fun `name each key whose value differs`() {
@@ -103,8 +115,8 @@
                 "process.failure-domain, process.region, process.address, process.link-port, process.data-folder, " +
                 "listen.clients, listen.readiness, listen.operators, group.seeds, group.first-start, " +
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
-                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation; " +
-                "did you mean 'process.link-port'?",
+                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation, " +
+                "scheduling.live-admission; did you mean 'process.link-port'?",
         )
     }
 
