--- a/policy/src/test/kotlin/org/zinniahoist/policy/live/AdaptiveAdmissionTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/live/AdaptiveAdmissionTest.kt
@@ -17,7 +17,7 @@
 class AdaptiveAdmissionTest {
     private val admission = AdaptiveAdmission()
     private var now = Moment.ZERO
-    private val capacity = ServiceCapacity(upstreams = 2, slots = 4)
+    private var capacity = ServiceCapacity(upstreams = 2, slots = 4)
 
     private fun request(priority: Int = 0, workspace: String? = null, target: Duration = 200.milliseconds) =
         LiveRequest(SERVICE, priority, workspace?.let(::WorkspaceName), target, now + target)
@@ -39,16 +39,19 @@
     /** Guards against a congestion that halves the limit once for each request in flight. */
     @Test
     fun `the refusals of one congestion halve the limit once`() {
-        val requests = List(4) { admitted() }
+        capacity = ServiceCapacity(upstreams = 2, slots = 16)
+        val requests = List(16) { admitted() }
         val started = now
         now += 5.milliseconds
         requests.forEach { end(it, AttemptOutcome.REFUSED, started) }
-        expectThat(figures().limit).isEqualTo(2)
-        val next = admitted()
-        val startedLater = now
-        now += 5.milliseconds
-        end(next, AttemptOutcome.REFUSED, startedLater)
-        expectThat(figures().limit).isEqualTo(capacity.upstreams)
+        expectThat(figures().limit).isEqualTo(8)
+        for (limit in listOf(4, 2, 2)) {
+            val next = admitted()
+            val startedLater = now
+            now += 5.milliseconds
+            end(next, AttemptOutcome.REFUSED, startedLater)
+            expectThat(figures().limit).isEqualTo(limit)
+        }
     }
 
     /** Guards against a limit that stays low after a congestion, or that grows without bound in calm. */
