Test that responses with an invalid status reach nobody

An upstream in trouble may answer with a status outside 100 to 599. All paths hold already, because ResponseHead accepts three digits from 100 to 599 only and the HTTP library refuses longer heads: safe requests, requests that may run once, streams, items, reports, orders of weights, the platform's list, reward calls, and a client of an entry.

--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/RewardCallsTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/RewardCallsTest.kt
@@ -10,10 +10,13 @@
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.ConnectionProbe
 import org.zinniahoist.gateway.upstream.CrashMonitor
+import org.zinniahoist.gateway.upstream.InvalidStatus
 import org.zinniahoist.gateway.upstream.RawAnswer
 import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
@@ -120,6 +123,14 @@
         }
     }
 
+    /** Guards against a score from a response whose status is invalid, or an item that is given up because of it. */
+    @ParameterizedTest
+    @EnumSource
+    fun `a response with an invalid status gives no score`(status: InvalidStatus) {
+        val upstream = RawUpstream { text(status.response("r-a")) }
+        upstream.use { expectThat(call(it, 1, "a")).isA<RewardCallEnd.Lost>() }
+    }
+
     /** Guards against a score from a response whose body was cut off. */
     @Test
     fun `a response that is cut off gives no score`() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WeightOrdersTest.kt
@@ -9,8 +9,11 @@
 import kotlinx.coroutines.cancel
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.InvalidStatus
 import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.Endpoint
@@ -134,6 +137,19 @@
         expectThat(metrics.text()).contains("zinniahoist_events_total{event=\"order\",outcome=\"conflict\"} 1.0")
     }
 
+    /** Guards against an order that counts as accepted because of a response with an invalid status. */
+    @ParameterizedTest
+    @EnumSource
+    fun `a response with an invalid status is not the answer to an order`(status: InvalidStatus) {
+        val received = AtomicInteger()
+        val upstream = RawUpstream {
+            val isOrder = received.incrementAndGet() > 1
+            text(if (isOrder) status.response(null) else "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+        }
+        upstream.use { order(it.endpoint) { } }
+        expectThat(metrics.text()).contains("zinniahoist_events_total{event=\"order\",outcome=\"unknown\"} 1.0")
+    }
+
     private companion object {
         val MODEL = ModelName("m")
         val NOW = Moment.ZERO + 60.seconds
