--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -21,6 +21,15 @@
     CORE,
 }
 
+/** How an entry bounds its live requests in flight to a service. */
+public enum class LiveAdmissionMode {
+    /** Each request is sent at once. */
+    NONE,
+
+    /** A limit adapts to the answers of the upstreams. */
+    ADAPTIVE,
+}
+
 private val DEFAULT_DRAIN = 3.seconds
 private val DEFAULT_REVOCATION = 5.seconds
 
@@ -61,6 +70,8 @@
     public val hasStrictRevocation: Boolean = false,
     /** Duties that the leader of the service group performs for the platform. */
     public val duties: DutySettings = DutySettings(),
+    /** How an entry bounds its live requests in flight. */
+    public val liveAdmission: LiveAdmissionMode = LiveAdmissionMode.NONE,
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -88,6 +99,7 @@
         "times.drain-milliseconds" to drain,
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
+        "scheduling.live-admission" to liveAdmission,
     ) + duties.values()
 }
 
@@ -152,6 +164,9 @@
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
         val duties = duties()
+        val liveAdmission = optional("scheduling.live-admission", "none, adaptive") { text ->
+            LiveAdmissionMode.entries.find { it.name.lowercase() == text }
+        }
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -176,6 +191,7 @@
             revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
             hasStrictRevocation = strictRevocation == true,
             duties = duties,
+            liveAdmission = liveAdmission ?: LiveAdmissionMode.NONE,
         )
     }
 
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -67,6 +67,18 @@
             .containsExactly("key 'duties.report-window-seconds' has value '0'; allowed: a positive number")
     }
 
+    /** Guards against a deployment that bounds its requests without a setting, or not with it. */
+    @Test
+    fun `take the admission of live requests from the file, or none`() {
+        fun modeOf(text: String) =
+            GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it.liveAdmission })
+        expectThat(modeOf(core)).isEqualTo(LiveAdmissionMode.NONE)
+        expectThat(modeOf("$core\n[scheduling]\nlive-admission = none")).isEqualTo(LiveAdmissionMode.NONE)
+        expectThat(modeOf("$core\n[scheduling]\nlive-admission = adaptive")).isEqualTo(LiveAdmissionMode.ADAPTIVE)
+        expectThat(errors("$core\n[scheduling]\nlive-admission = Adaptive"))
+            .containsExactly("key 'scheduling.live-admission' has value 'Adaptive'; allowed: none, adaptive")
+    }
+
     /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
     @Test
     fun `name each key whose value differs`() {
@@ -117,8 +129,7 @@
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
                 "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation, duties.names, " +
                 "duties.calls-per-second, duties.report-window-seconds, duties.report-lateness-seconds, " +
-                "duties.fence-required; " +
-                "did you mean 'process.link-port'?",
+                "duties.fence-required, scheduling.live-admission; did you mean 'process.link-port'?",
         )
     }
 
