Place items by the memory and the pending prompts of engines

Cause: an item goes to any upstream with a free slot. Engines whose requests exceed their memory preempt or crash, short prompts wait behind long ones that are read first, and an upstream that was slow for some hundred milliseconds is avoided long after.

Change: with scheduling.placement = memory an item starts only where its prompt and expected output fit beside the tokens that are held, among upstreams that are about as good as the best where the fewest prompt tokens are pending, by event intervals of the last 600 ms. After 1 s of waiting for memory one upstream is kept free for an item. An item larger than the memory goes to an upstream without runs. The memory comes from engine.kvCapacityTokens of the configuration, the tokens of an item from Zinniahoist-Token-Count; old logs decode.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.policy.dispatch.CancelledJob
 import org.zinniahoist.policy.dispatch.DispatchAction
+import org.zinniahoist.policy.dispatch.DispatchOptions
 import org.zinniahoist.policy.dispatch.ItemDispatcher
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.policy.dispatch.ModelBacklog
@@ -45,9 +46,10 @@
     rewardConnections: RewardConnections,
     random: Random = Random.Default,
     private val runs: RunConnections = ItemRuns(dialect.headers, calls, machine),
+    options: DispatchOptions = DispatchOptions(),
 ) {
     val registry = UpstreamRegistry()
-    private val dispatcher = ItemDispatcher(registry)
+    private val dispatcher = ItemDispatcher(registry, options)
     private val waits = WaitReporter(metrics)
     private val readMonitor = ResponseReadMonitor(dispatcher, runs) { post(TaskKind.READING, it) }
     private val recorder = ResultRecorder(log, metrics)
@@ -73,6 +75,7 @@
             // An unreadable configuration (null) does not remove routes that are in use.
             if (value == null) return
             rewards.routes = value
+            registry.engineMemory = value.engineMemory
             if (isActive) withdrawDisallowed()
         }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -151,6 +151,8 @@
             expectedTokens = item.estimatedTokens,
             terms = terms,
             text = text ?: ItemText(),
+            promptTokens = item.counts?.prompt ?: 0,
+            maximumOutput = item.counts?.maximumOutput,
         )
     }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -17,10 +17,15 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.policy.dispatch.DispatchOptions
+import org.zinniahoist.policy.dispatch.ItemOrderKind
+import org.zinniahoist.policy.dispatch.PlacementKind
 import org.zinniahoist.policy.dispatch.WeightLoader
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.RouteTable
 import org.zinniahoist.settings.GatewaySettings
+import org.zinniahoist.settings.ItemOrderSetting
+import org.zinniahoist.settings.PlacementSetting
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.ServiceAnswer
@@ -59,6 +64,7 @@
         System::currentTimeMillis,
         metrics,
         RewardCalls(dialect.headers, calls, machine, scope, crashes),
+        options = dispatchOptions(settings),
     )
     private val loader = WeightLoader(engine.registry)
     private val models = ModelLog(metrics)
@@ -176,6 +182,17 @@
     }
 
     private companion object {
+        fun dispatchOptions(settings: GatewaySettings) = DispatchOptions(
+            itemOrder = when (settings.itemOrder) {
+                ItemOrderSetting.DUE_TIME -> ItemOrderKind.DUE_TIME
+                ItemOrderSetting.FAIR_SHARE -> ItemOrderKind.FAIR_SHARE
+            },
+            placement = when (settings.placement) {
+                PlacementSetting.SLOTS -> PlacementKind.SLOTS
+                PlacementSetting.MEMORY -> PlacementKind.MEMORY
+            },
+        )
+
         val logger = KotlinLogging.logger {}
 
         /** Interval between reads of the list; bounds, with the list's own lag, how late a removal is detected. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WaitReporter.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/WaitReporter.kt
@@ -63,6 +63,7 @@
 
         private fun describe(reason: WaitReason): String = when (reason) {
             is WaitReason.Paused -> "reason=paused paused-ms=${reason.remaining.inWholeMilliseconds}"
+            is WaitReason.NoMemory -> "reason=no-memory tokens=${reason.tokens}"
             WaitReason.NoCandidate -> "reason=no-candidate"
             WaitReason.Startable -> "reason=startable"
         }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobPlannerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobPlannerTest.kt
@@ -7,12 +7,14 @@
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.ItemWork
 import org.zinniahoist.state.StateCodec
+import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.ServiceCommand
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.state.service.StepTerms
+import org.zinniahoist.state.service.TokenCounts
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
 import kotlin.random.Random
@@ -32,6 +34,19 @@
         apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", requests, terms)))
     }
 
+    /** Guards against placement without the counts that the trainer stated. */
+    @Test
+    fun `the token counts of an item reach the dispatcher`() {
+        val plain = EngineFixture.item("a")
+        val counts = TokenCounts(prompt = 540, maximumOutput = 400)
+        val item = BatchItem(plain.identifier, plain.path, plain.headers, plain.body, 940, 350, counts = counts)
+        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier("j"), "h", "/s/", listOf(item, EngineFixture.item("b")))))
+        val (counted, uncounted) = work("j")
+        expectThat(listOf(counted.promptTokens, counted.expectedOutput, counted.maximumOutput))
+            .containsExactly(540, 350, 400)
+        expectThat(listOf(uncounted.promptTokens, uncounted.maximumOutput)).containsExactly(0, null)
+    }
+
     private fun work(job: String): List<ItemWork> {
         val record = checkNotNull(machine.job(JobIdentifier(job)))
         return planner.plan(record, EngineFixture.route(), record.openItems(), Moment.ZERO).work
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WaitReporterTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/WaitReporterTest.kt
@@ -35,6 +35,13 @@
             .contains("reason=paused paused-ms=30 ")
     }
 
+    /** Guards against a wait for memory that looks like a lack of slots. */
+    @Test
+    fun `names the memory that an item waits for`() {
+        expectThat(WaitReporter.line(report(1_500, WaitReason.NoMemory(940)), waiting = 4))
+            .contains("reason=no-memory tokens=940 ")
+    }
+
     /** Guards against log flooding while many items wait, and against lines for short waits. */
     @Test
     fun `writes at most one line per second, for long waits only`() {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
@@ -28,4 +28,14 @@
     public val refusalBackoff: Duration = 60.milliseconds,
     /** Time for which an item prefers other upstreams after a run of it broke, failed or was refused on one. */
     public val avoidanceDuration: Duration = 3_000.milliseconds,
+    /** Wait of an item that fits into no memory after which an upstream is kept free for it. */
+    public val reservationDelay: Duration = 1_000.milliseconds,
+    public val itemOrder: ItemOrderKind = ItemOrderKind.DUE_TIME,
+    public val placement: PlacementKind = PlacementKind.SLOTS,
 )
+
+/** Selects the [ItemOrder]. */
+public enum class ItemOrderKind { DUE_TIME, FAIR_SHARE }
+
+/** Selects the [UpstreamFit]. */
+public enum class PlacementKind { SLOTS, MEMORY }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -140,7 +140,7 @@
         val expected = state.text.lastNumber?.plus(1)
         if (expected != null && number != expected) return abortRun(state, "event $number is not $expected", now)
         if (version != null) current.version = version
-        if (current.events > 0) registry.onEventInterval(current.upstream, arrivedAt - current.lastArrival)
+        if (current.events > 0) registry.onEventInterval(current.upstream, arrivedAt - current.lastArrival, arrivedAt)
         current.events++
         current.lastArrival = arrivedAt
         current.lastProgress = now
@@ -151,6 +151,7 @@
         val extended = text.plus(number, data, current.version)
         if (extended.fits(state.work.terms)) {
             state.text = extended
+            current.tokens.onEvent(extended.events.size)
             return emptyList()
         }
         state.text = ItemText()
@@ -182,7 +183,7 @@
     public fun tick(now: Moment, readUntil: Moment = now): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
         for (state in table.all.filter { now >= it.work.expiresAt }) actions += expire(state)
-        val view = PlacementView(registry, now)
+        val view = placement.view(now)
         for (state in table.runningItems.toList()) {
             if (placement.shouldMove(state, waitingItems > 0, view, readUntil)) {
                 actions += abortRun(state, "stalled", now)
@@ -195,7 +196,7 @@
     public fun place(now: Moment): List<DispatchAction> {
         if (table.waitingItems.isEmpty()) return emptyList()
         table.waitingItems.forEach { if (it.waitingSince == null) it.waitingSince = now }
-        val view = PlacementView(registry, now)
+        val view = placement.view(now)
         val actions = table.startWaiting(view) { placement.choose(it, view) }
         if (!registry.hasProbes(now)) return actions
         // Probes rotate among items, as an item that crashes upstreams is often the most urgent and would take all.
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemPlacement.kt
@@ -9,27 +9,43 @@
     private val registry: UpstreamRegistry,
     private val options: DispatchOptions,
 ) {
+    private val fit: UpstreamFit = when (options.placement) {
+        PlacementKind.SLOTS -> SlotFit
+        PlacementKind.MEMORY -> MemoryFit(registry)
+    }
+
+    /** Returns the upstreams on which items may be placed at [now]. */
+    fun view(now: Moment): PlacementView = PlacementView(registry, now, fit)
+
     /** Returns the upstream of [view] on which the item of [state] starts, or null if the item has to wait. */
     fun choose(state: ItemState, view: PlacementView): TrackedUpstream? {
         if (pausedUntil(state, view.now) != null) return null
-        return leastLoaded(state, view.ready(state.constraints), view)
+        val ready = view.ready(state.constraints)
+        if (ready.isEmpty()) return null
+        if (view.largestRoom(state.constraints) < state.heldTokens) {
+            reserveRoom(state, ready, view)
+            return null
+        }
+        val fitting = ready.filter { fit.room(it) >= state.heldTokens }
+        return fit.choose(state.avoided.prefer(fitting, view.now), view)
+    }
+
+    /**
+     * Keeps the upstream with the most room free for the item of [state] if it has waited for long. Otherwise smaller
+     * items, which fit sooner, would take the room each time.
+     */
+    private fun reserveRoom(state: ItemState, ready: List<TrackedUpstream>, view: PlacementView) {
+        if (state.waitingSince?.let { view.now - it < options.reservationDelay } != false) return
+        ready.maxByOrNull { fit.room(it) }?.let(view::reserve)
     }
 
     /** Returns the suspended upstream of [view] that the item of [state] may probe, or null. */
     fun chooseProbe(state: ItemState, view: PlacementView): TrackedUpstream? {
         if (pausedUntil(state, view.now) != null) return null
-        return leastLoaded(state, view.probes(state.constraints), view)
-    }
-
-    /** Returns the upstream with the lowest product of event interval and slot count plus runs in flight. */
-    private fun leastLoaded(
-        state: ItemState,
-        candidates: List<TrackedUpstream>,
-        view: PlacementView,
-    ): TrackedUpstream? {
+        val candidates = view.probes(state.constraints)
         if (candidates.isEmpty()) return null
-        return state.avoided.prefer(candidates, view.now)
-            .minByOrNull { view.eventIntervalOf(it) * (it.listed.slots + it.inFlight) }
+        // A probed upstream has no runs, so that any item fits.
+        return SlotFit.choose(state.avoided.prefer(candidates, view.now), view)
     }
 
     private fun pausedUntil(state: ItemState, now: Moment): Moment? = state.notBefore?.takeIf { now < it }
@@ -58,7 +74,10 @@
         if (tracked == null) return false
         if (state.moves > 0 || run.events < 2 || now - run.startedAt < MINIMUM_RUN_DURATION) return false
         if (view.eventIntervalOf(tracked) < options.slowStreamFactor * view.medianEventInterval) return false
-        return !isAnyWaiting && view.ready(state.constraints).any { it.listed.identity != run.upstream }
+        return !isAnyWaiting &&
+            view.ready(state.constraints).any {
+                it.listed.identity != run.upstream && fit.room(it) >= state.heldTokens
+            }
     }
 
     /** Reports why the item of [state] does not run at [now]. */
@@ -67,6 +86,7 @@
         val reason = when {
             pausedUntil != null -> WaitReason.Paused(pausedUntil - now)
             candidates(state, now).isEmpty() -> WaitReason.NoCandidate
+            candidates(state, now).none { fit.room(it) >= state.heldTokens } -> WaitReason.NoMemory(state.heldTokens)
             else -> WaitReason.Startable
         }
         val waited = state.waitingSince?.let { now - it } ?: Duration.ZERO
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -12,6 +12,7 @@
     val startedAt: Moment,
     /** Start of the current period without events, from which the stall timeout is measured. */
     var lastProgress: Moment,
+    val tokens: RunTokens,
 ) {
     /** Arrival time of the bytes of the latest event, which may be handled much later. */
     var lastArrival = startedAt
@@ -26,6 +27,9 @@
 ) {
     val constraints = PlacementConstraints(work)
     var text = work.text
+
+    /** Expected number of tokens that a run holds in the memory of its upstream. */
+    val heldTokens: Int get() = work.promptTokens + maxOf(work.expectedOutput, text.events.size)
     var run: RunState? = null
     var notBefore: Moment? = null
 
@@ -136,7 +140,8 @@
         state.mustRestart = false
         state.lastStartedAt = now
         state.runs++
-        state.run = RunState(run, tracked.listed.identity, startedAt = now, lastProgress = now)
+        val tokens = RunTokens(tracked.load, state.work, state.text.events.size)
+        state.run = RunState(run, tracked.listed.identity, startedAt = now, lastProgress = now, tokens)
         runs[run] = state
         return DispatchAction.Start(run, state.work.key, tracked.listed, state.text.lastNumber)
     }
@@ -145,6 +150,7 @@
     fun release(run: RunState): Long {
         val state = runs.remove(run.number)
         state?.run = null
+        run.tokens.end()
         registry.release(run.upstream, state?.work?.terms?.model)
         return run.number
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/PlacementView.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/PlacementView.kt
@@ -33,7 +33,10 @@
 internal class PlacementView(
     private val registry: UpstreamRegistry,
     val now: Moment,
+    private val fit: UpstreamFit = SlotFit,
 ) {
+    private val rooms = HashMap<PlacementConstraints, Long>()
+    private var reserved: TrackedUpstream? = null
     private val usable = HashMap<ServiceName, List<TrackedUpstream>>()
     private val ready = HashMap<PlacementConstraints, MutableList<TrackedUpstream>>()
     private val probes = HashMap<PlacementConstraints, MutableList<TrackedUpstream>>()
@@ -46,10 +49,30 @@
 
     /** Returns the upstreams that meet [constraints] and are not suspended. */
     fun ready(constraints: PlacementConstraints): List<TrackedUpstream> = ready.getOrPut(constraints) {
-        val ofService = usable.getOrPut(constraints.service) { registry.usable(constraints.service, now) }
-        ofService.filterTo(ArrayList(), constraints::areMetBy)
+        val ofService = usableOf(constraints.service)
+        ofService.filterTo(ArrayList()) { it !== reserved && constraints.areMetBy(it) }
     }
 
+    /** Returns the most tokens that a further run may hold on a [ready] upstream, or zero if there is none. */
+    fun largestRoom(constraints: PlacementConstraints): Long = rooms.getOrPut(constraints) {
+        ready(constraints).maxOfOrNull { fit.room(it) } ?: 0
+    }
+
+    /** Returns the event interval of [tracked] in the last moments in milliseconds; the median if it is unknown. */
+    fun recentIntervalOf(tracked: TrackedUpstream): Double = tracked.recentInterval.at(now) ?: medianEventInterval
+
+    /** Keeps [tracked] free of further runs. At most one upstream is, so that the others still take items. */
+    fun reserve(tracked: TrackedUpstream) {
+        if (reserved != null) return
+        reserved = tracked
+        rooms.clear()
+        removeReady(tracked)
+    }
+
+    private fun usableOf(service: ServiceName) = usable.getOrPut(service) { registry.usable(service, now) }
+
+    private fun removeReady(tracked: TrackedUpstream) = ready.values.forEach { it.remove(tracked) }
+
     /** Returns the suspended upstreams that meet [constraints] and may be probed; none while [ready] returns any. */
     fun probes(constraints: PlacementConstraints): List<TrackedUpstream> {
         if (ready(constraints).isNotEmpty()) return emptyList()
@@ -61,6 +84,7 @@
     /** Updates the cache for a run that started on [tracked]. */
     fun onBegin(tracked: TrackedUpstream) {
         probes.values.forEach { it.remove(tracked) }
-        if (tracked.inFlight >= tracked.listed.slots) ready.values.forEach { it.remove(tracked) }
+        rooms.clear()
+        if (tracked.inFlight >= tracked.listed.slots) removeReady(tracked)
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamRegistry.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamRegistry.kt
@@ -28,6 +28,8 @@
 
     /** Event interval in milliseconds, or null before the first measurement. */
     internal val knownEventInterval: Double? get() = eventIntervalMilliseconds.takeIf { it != UNKNOWN_INTERVAL }
+    internal val recentInterval = RecentEventInterval()
+    internal val load = UpstreamLoad()
     internal var failures = 0
     internal var suspendedUntil: Moment? = null
     internal var failedAt: Moment? = null
@@ -66,6 +68,7 @@
     /** Resets the run counts after all runs were aborted. */
     internal fun endAll() {
         inFlight = 0
+        load.clear()
         inFlightByModel.clear()
     }
 
@@ -98,6 +101,9 @@
     /** Upstreams that are missing from the latest listings; runs on them may still be in progress. */
     private val unlistedUpstreams = LinkedHashMap<UpstreamIdentity, TrackedUpstream>()
 
+    /** Memory of each upstream in tokens, for the services whose memory is known. */
+    public var engineMemory: Map<ServiceName, Long> = emptyMap()
+
     /** Total number of upstreams examined in passes over the list. It measures the cost of scheduling decisions. */
     public var examinations: Long = 0
         private set
@@ -219,10 +225,11 @@
         tracked.suspendedUntil = null
     }
 
-    /** Records the [interval] between two consecutive events of a stream on the upstream. */
-    public fun onEventInterval(identity: UpstreamIdentity, interval: Duration) {
+    /** Records the [interval] between two consecutive events of a stream on the upstream, the latter of them [at]. */
+    public fun onEventInterval(identity: UpstreamIdentity, interval: Duration, at: Moment? = null) {
         val tracked = listedUpstreams[identity] ?: return
         val measured = interval.inWholeMicroseconds / MICROSECONDS_PER_MILLISECOND
+        if (at != null) tracked.recentInterval.record(measured, at)
         val known = tracked.eventIntervalMilliseconds
         tracked.eventIntervalMilliseconds =
             if (known == TrackedUpstream.UNKNOWN_INTERVAL) measured else known + SMOOTHING_FACTOR * (measured - known)
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WaitReport.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/WaitReport.kt
@@ -19,6 +19,9 @@
     /** No upstream can run the item; [WaitReport.upstreams] shows the causes. */
     public data object NoCandidate : WaitReason
 
+    /** Upstreams with a free slot exist, but none has memory for the [tokens] that the item is expected to hold. */
+    public data class NoMemory(public val tokens: Int) : WaitReason
+
     /** The next tick can start the item. */
     public data object Startable : WaitReason
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
@@ -21,6 +21,11 @@
     private val prioritiesByWorkspace = configuration.workspaces.orEmpty()
         .mapNotNull { workspace -> workspace.priority?.let { workspace.name to it } }
         .toMap()
+
+    /** Memory of each engine in tokens, for the services whose configuration names it. */
+    public val engineMemory: Map<ServiceName, Long> = configuration.services
+        .mapNotNull { service -> service.engine?.memoryTokens?.let { service.name to it } }
+        .toMap()
     private val byHost = configuration.routes
         .groupBy { it.host }
         .mapValues { (_, routes) -> routes.associateBy { it.pathPrefix } }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -66,6 +66,15 @@
     public val name: ServiceName,
     /** Maximum number of connections that one upstream accepts from all callers together. */
     public val maximumConnections: Int,
+    /** Terms of the service's engines, or null if the configuration names none. */
+    public val engine: EngineTerms? = null,
+)
+
+/** Capacity of one engine of a service, as far as the configuration names it. */
+public data class EngineTerms(
+    public val slots: Int? = null,
+    /** Number of prompt and output tokens of running requests that fit into the memory of the engine. */
+    public val memoryTokens: Long? = null,
 )
 
 /** A group of callers that share their jobs, and the keys with which they authenticate. */
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/DispatchCostTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/DispatchCostTest.kt
@@ -36,6 +36,17 @@
         expectThat(rounds.min()).isLessThan(MICROSECONDS_PER_EVENT)
     }
 
+    /** Guards against the same with placement by memory, while memory and slots are short. */
+    @Test
+    fun `an event takes less than 10 microseconds of CPU time with placement by memory`() {
+        val load = DispatchLoad(items = 500, options = DispatchOptions(placement = PlacementKind.MEMORY)).apply {
+            fill()
+        }
+        val rounds = (1..ROUNDS).map { load.microsecondsPerEvent(STEPS) }
+        println("the same with placement by memory: ${rounds.map { "%.2f".format(it) }}")
+        expectThat(rounds.min()).isLessThan(MICROSECONDS_PER_EVENT)
+    }
+
     private companion object {
         /** One pass per model, and five for the service, event intervals and probes, for any number of items. */
         const val EXAMINATIONS = (MODELS + 5L) * UPSTREAMS
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/DispatchLoad.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/DispatchLoad.kt
@@ -15,14 +15,16 @@
 internal class DispatchLoad(
     items: Int,
     slots: Int = 8,
+    options: DispatchOptions = DispatchOptions(),
 ) {
-    private val dispatcher = ItemDispatcher()
+    private val dispatcher = ItemDispatcher(options = options)
     private val threads = ManagementFactory.getThreadMXBean()
     private val runs = LinkedHashMap<Long, Long>()
     private var submitted = 0
     private var now = START
 
     init {
+        dispatcher.registry.engineMemory = mapOf(item("x").service to MEMORY)
         val versions = models.associateWith { WeightVersion(1) }
         dispatcher.registry.relist((1..UPSTREAMS).map { upstream("u$it", slots).copy(versions = versions) })
         dispatcher.submit(List(items) { nextItem() })
@@ -90,6 +92,7 @@
             dueAt = START + (number / ITEMS_PER_JOB).milliseconds,
             expiresAt = START + 1.hours,
             expectedTokens = number * 31 % 97,
+            promptTokens = 100 + number * 37 % 400,
             terms = WeightConstraints(model, WeightVersion(1), singleVersion = false),
         )
     }
@@ -97,6 +100,9 @@
     companion object {
         const val UPSTREAMS = 28
         const val MODELS = 4
+
+        /** About what the runs of all slots hold, so that some items wait for memory. */
+        private const val MEMORY = 3_000L
         private const val ITEMS_PER_JOB = 64
 
         /** Minimum number of events of an item; the longest items have almost twice as many. */
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -21,6 +21,24 @@
     CORE,
 }
 
+/** Order in which waiting items of batch jobs start. */
+public enum class ItemOrderSetting {
+    /** By the due time of their job. */
+    DUE_TIME,
+
+    /** By priority, then by the share of each workspace, then by the due time. */
+    FAIR_SHARE,
+}
+
+/** Condition under which an upstream takes a further item. */
+public enum class PlacementSetting {
+    /** A slot is free. */
+    SLOTS,
+
+    /** A slot is free, and the expected tokens of the item fit into the memory of the engine. */
+    MEMORY,
+}
+
 private val DEFAULT_DRAIN = 3.seconds
 private val DEFAULT_REVOCATION = 5.seconds
 
@@ -59,6 +77,8 @@
     public val revocation: Duration = DEFAULT_REVOCATION,
     /** Whether an entry refuses all keys once it has had no contact to the service group for [revocation]. */
     public val hasStrictRevocation: Boolean = false,
+    public val itemOrder: ItemOrderSetting = ItemOrderSetting.DUE_TIME,
+    public val placement: PlacementSetting = PlacementSetting.SLOTS,
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -86,6 +106,8 @@
         "times.drain-milliseconds" to drain,
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
+        "scheduling.item-order" to itemOrder,
+        "scheduling.placement" to placement,
     )
 }
 
@@ -149,6 +171,8 @@
         val drain = optional("times.drain-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
+        val itemOrder = choice("scheduling.item-order", ItemOrderSetting.entries)
+        val placement = choice("scheduling.placement", PlacementSetting.entries)
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -172,9 +196,18 @@
             drain = drain?.milliseconds ?: DEFAULT_DRAIN,
             revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
             hasStrictRevocation = strictRevocation == true,
+            itemOrder = itemOrder ?: ItemOrderSetting.DUE_TIME,
+            placement = placement ?: PlacementSetting.SLOTS,
         )
     }
 
+    private fun <T : Enum<T>> choice(name: String, values: List<T>): T? {
+        fun textOf(value: T) = value.name.lowercase().replace('_', '-')
+        return optional(name, values.joinToString(", ", transform = ::textOf)) { text ->
+            values.find { textOf(it) == text }
+        }
+    }
+
     private fun endpoint(name: String, isRequired: Boolean): Endpoint? =
         if (isRequired) required(name, ADDRESS, Endpoint::parse) else optional(name, ADDRESS, Endpoint::parse)
 
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -55,6 +55,20 @@
         expectThat(drainOf("$core\ndrain-milliseconds =")).isEqualTo(3.seconds)
     }
 
+    /** Guards against a scheduling setting that is ignored, or a default that changes existing deployments. */
+    @Test
+    fun `take the scheduling from the file, or the defaults`() {
+        fun read(text: String) = GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it })
+        val chosen = read("$core\n[scheduling]\nitem-order = fair-share\nplacement = memory")
+        expectThat(chosen.itemOrder to chosen.placement)
+            .isEqualTo(ItemOrderSetting.FAIR_SHARE to PlacementSetting.MEMORY)
+        val defaults = read("$core\n[scheduling]\nitem-order =")
+        expectThat(defaults.itemOrder to defaults.placement)
+            .isEqualTo(ItemOrderSetting.DUE_TIME to PlacementSetting.SLOTS)
+        expectThat(errors("$core\n[scheduling]\nplacement = slot"))
+            .containsExactly("key 'scheduling.placement' has value 'slot'; allowed: slots, memory")
+    }
+
     /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
     @Test
     fun `name each key whose value differs`() {
@@ -103,8 +117,8 @@
                 "process.failure-domain, process.region, process.address, process.link-port, process.data-folder, " +
                 "listen.clients, listen.readiness, listen.operators, group.seeds, group.first-start, " +
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
-                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation; " +
-                "did you mean 'process.link-port'?",
+                "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation, " +
+                "scheduling.item-order, scheduling.placement; did you mean 'process.link-port'?",
         )
     }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/BatchJob.kt
@@ -63,15 +63,25 @@
     public val group: String? = null,
     /** Request that scores the text of the item once it is complete, or null if the item needs no score. */
     public val reward: RewardRequest? = null,
+    /** Prompt and output tokens as stated by the client, or null if it stated none. */
+    public val counts: TokenCounts? = null,
 ) {
     /** Returns the item with other [headers]. */
     public fun withHeaders(headers: List<HeaderField>): BatchItem =
-        BatchItem(identifier, path, headers, body, tokens, expectedTokens, group, reward)
+        BatchItem(identifier, path, headers, body, tokens, expectedTokens, group, reward, counts)
 
     /** Estimated number of tokens of the item. */
     public val estimatedTokens: Int get() = expectedTokens ?: tokens
 }
 
+/** Token counts of a [BatchItem]. */
+@Serializable
+public data class TokenCounts(
+    public val prompt: Int,
+    /** Maximum number of output tokens. */
+    public val maximumOutput: Int,
+)
+
 /** A request header as sent by the client. */
 @Serializable
 public data class HeaderField(
