--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
@@ -30,4 +30,14 @@
     public val avoidanceDuration: Duration = 3_000.milliseconds,
     /** Whether runs of long items move away from slow or loading upstreams when their job would be late otherwise. */
     public val migratesOverdueRuns: Boolean = false,
+    /** Wait of an item that fits into no memory after which an upstream is kept free for it. */
+    public val reservationDelay: Duration = 1_000.milliseconds,
+    public val itemOrder: ItemOrderKind = ItemOrderKind.DUE_TIME,
+    public val placement: PlacementKind = PlacementKind.SLOTS,
 )
+
+/** Selects the [ItemOrder]. */
+public enum class ItemOrderKind { DUE_TIME, FAIR_SHARE }
+
+/** Selects the [UpstreamFit]. */
+public enum class PlacementKind { SLOTS, MEMORY }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -30,6 +30,24 @@
     ADAPTIVE,
 }
 
+/** Order in which waiting items of batch jobs start. */
+public enum class ItemOrderSetting {
+    /** By the due time of their job. */
+    DUE_TIME,
+
+    /** By priority, then by the share of each workspace, then by the due time. */
+    FAIR_SHARE,
+}
+
+/** Condition under which an upstream takes a further item. */
+public enum class PlacementSetting {
+    /** A slot is free. */
+    SLOTS,
+
+    /** A slot is free, and the expected tokens of the item fit into the memory of the engine. */
+    MEMORY,
+}
+
 private val DEFAULT_DRAIN = 3.seconds
 private val DEFAULT_REVOCATION = 5.seconds
 
@@ -72,6 +90,8 @@
     public val duties: DutySettings = DutySettings(),
     /** How an entry bounds its live requests in flight. */
     public val liveAdmission: LiveAdmissionMode = LiveAdmissionMode.NONE,
+    public val itemOrder: ItemOrderSetting = ItemOrderSetting.DUE_TIME,
+    public val placement: PlacementSetting = PlacementSetting.SLOTS,
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -100,6 +120,8 @@
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
         "scheduling.live-admission" to liveAdmission,
+        "scheduling.item-order" to itemOrder,
+        "scheduling.placement" to placement,
     ) + duties.values()
 }
 
@@ -164,9 +186,9 @@
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
         val duties = duties()
-        val liveAdmission = optional("scheduling.live-admission", "none, adaptive") { text ->
-            LiveAdmissionMode.entries.find { it.name.lowercase() == text }
-        }
+        val liveAdmission = choice("scheduling.live-admission", LiveAdmissionMode.entries)
+        val itemOrder = choice("scheduling.item-order", ItemOrderSetting.entries)
+        val placement = choice("scheduling.placement", PlacementSetting.entries)
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -192,6 +214,8 @@
             hasStrictRevocation = strictRevocation == true,
             duties = duties,
             liveAdmission = liveAdmission ?: LiveAdmissionMode.NONE,
+            itemOrder = itemOrder ?: ItemOrderSetting.DUE_TIME,
+            placement = placement ?: PlacementSetting.SLOTS,
         )
     }
 
@@ -212,6 +236,13 @@
 
     private fun positive(text: String): Double? = text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
 
+    private fun <T : Enum<T>> choice(name: String, values: List<T>): T? {
+        fun textOf(value: T) = value.name.lowercase().replace('_', '-')
+        return optional(name, values.joinToString(", ", transform = ::textOf)) { text ->
+            values.find { textOf(it) == text }
+        }
+    }
+
     private fun endpoint(name: String, isRequired: Boolean): Endpoint? =
         if (isRequired) required(name, ADDRESS, Endpoint::parse) else optional(name, ADDRESS, Endpoint::parse)
 
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -79,6 +79,20 @@
             .containsExactly("key 'scheduling.live-admission' has value 'Adaptive'; allowed: none, adaptive")
     }
 
+    /** Guards against a scheduling setting that is ignored, or a default that changes existing deployments. */
+    @Test
+    fun `take the scheduling from the file, or the defaults`() {
+        fun read(text: String) = GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it })
+        val chosen = read("$core\n[scheduling]\nitem-order = fair-share\nplacement = memory")
+        expectThat(chosen.itemOrder to chosen.placement)
+            .isEqualTo(ItemOrderSetting.FAIR_SHARE to PlacementSetting.MEMORY)
+        val defaults = read("$core\n[scheduling]\nitem-order =")
+        expectThat(defaults.itemOrder to defaults.placement)
+            .isEqualTo(ItemOrderSetting.DUE_TIME to PlacementSetting.SLOTS)
+        expectThat(errors("$core\n[scheduling]\nplacement = slot"))
+            .containsExactly("key 'scheduling.placement' has value 'slot'; allowed: slots, memory")
+    }
+
     /** Guards against a changed key that operators are not told of, or are told of by the name of another. */
     @Test
     fun `name each key whose value differs`() {
@@ -129,7 +143,8 @@
                 "group.tolerated-losses, platform.list, times.grace-seconds, times.order-lease-milliseconds, " +
                 "times.drain-milliseconds, times.revoke-milliseconds, keys.strict-revocation, duties.names, " +
                 "duties.calls-per-second, duties.report-window-seconds, duties.report-lateness-seconds, " +
-                "duties.fence-required, scheduling.live-admission; did you mean 'process.link-port'?",
+                "duties.fence-required, scheduling.live-admission, scheduling.item-order, scheduling.placement; " +
+                "did you mean 'process.link-port'?",
         )
     }
 
