--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchOptions.kt
@@ -28,8 +28,6 @@
     public val refusalBackoff: Duration = 60.milliseconds,
     /** Time for which an item prefers other upstreams after a run of it broke, failed or was refused on one. */
     public val avoidanceDuration: Duration = 3_000.milliseconds,
-    /** Whether runs of long items move away from slow or loading upstreams when their job would be late otherwise. */
-    public val migratesOverdueRuns: Boolean = false,
     /** Wait of an item that fits into no memory after which an upstream is kept free for it. */
     public val reservationDelay: Duration = 1_000.milliseconds,
     public val itemOrder: ItemOrderKind = ItemOrderKind.DUE_TIME,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -19,7 +19,6 @@
 ) {
     private val table = ItemTable(registry)
     private val placement = ItemPlacement(registry, options)
-    private val migration = if (options.migratesOverdueRuns) OverdueRunMigration() else RunMigration.NONE
 
     /** Number of items that wait for a free slot. */
     public val waitingItems: Int get() = table.waitingItems.size
@@ -188,8 +187,6 @@
         for (state in table.runningItems.toList()) {
             if (placement.shouldMove(state, waitingItems > 0, view, readUntil)) {
                 actions += abortRun(state, "stalled", now)
-            } else if (migration.shouldMigrate(state, view)) {
-                actions += migrate(state, now)
             }
         }
         return actions + place(now)
@@ -206,15 +203,6 @@
         return actions + table.startInRotation(view) { placement.chooseProbe(it, view) }
     }
 
-    /** Ends the run of [state], which makes progress, so that the item goes on elsewhere at once. */
-    private fun migrate(state: ItemState, now: Moment): List<DispatchAction> {
-        val current = state.run ?: return emptyList()
-        table.release(current)
-        state.avoided.add(current.upstream, now)
-        table.requeue(state, notBefore = null)
-        return listOf(DispatchAction.Abort(current.number, "job would be late"))
-    }
-
     private fun abortRun(
         state: ItemState,
         reason: String,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/PlacementView.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/PlacementView.kt
@@ -3,7 +3,6 @@
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
-import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 
 /** Constraints of an item on its upstream. Items with equal constraints can run on the same upstreams. */
@@ -48,9 +47,6 @@
     /** Returns the event interval of [tracked] in milliseconds; the median of all upstreams before it is measured. */
     fun eventIntervalOf(tracked: TrackedUpstream): Double = tracked.knownEventInterval ?: medianEventInterval
 
-    /** Returns the upstream with [identity], or null if the latest listing lacks it. */
-    fun tracked(identity: UpstreamIdentity): TrackedUpstream? = registry.tracked(identity)
-
     /** Returns the upstreams that meet [constraints] and are not suspended. */
     fun ready(constraints: PlacementConstraints): List<TrackedUpstream> = ready.getOrPut(constraints) {
         val ofService = usableOf(constraints.service)
