--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -14,10 +14,7 @@
 import org.zinniahoist.gateway.upstream.CrashGuard
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
-import org.zinniahoist.gateway.upstream.RequestBody
-import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
-import org.zinniahoist.gateway.upstream.ResponseMemory
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.gateway.upstream.onFailure
@@ -26,44 +23,13 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
-import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.policy.live.AttemptOutcome
-import org.zinniahoist.policy.live.LiveRequest
-import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.policy.routes.RouteKind
 import org.zinniahoist.policy.routes.drawService
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 
-/** A client request that is forwarded to an upstream. */
-internal class ForwardedRequest(
-    val headers: RequestHeaders,
-    val body: RequestBody,
-    val identifier: String?,
-    val route: Route,
-    val deadline: Moment,
-    /** Accounts for the bytes of its responses. */
-    val reservation: ResponseMemory.Reservation,
-    val guard: DispatchGuard,
-    /** Priority of the request among others that wait for the same service. */
-    private val priority: Int = route.priority,
-    private val workspace: WorkspaceName? = null,
-    arrival: Moment = deadline - route.timeout,
-) {
-    /** Moment until which the response has its full value. */
-    private val targetEnd = minOf(deadline, arrival + route.target)
-
-    /** Returns this request as the admission to [service] sees it. */
-    fun live(service: ServiceName) = LiveRequest(service, priority, workspace, route.target, targetEnd)
-
-    /** Marks the request as dispatched at [now]. Returns false if it must not be sent because of a shutdown. */
-    fun tryDispatch(now: Moment): Boolean = guard.tryDispatch(route, deadline, now)
-
-    /** What the request has in common with its retries. */
-    val content = RequestContent(headers.method().name, headers.authority().orEmpty(), headers.path(), body)
-}
-
 /** Outcome of forwarding a request. */
 internal sealed interface Forwarded {
     /** A response to return to the client. */
