--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -129,26 +129,28 @@
 }
 
 /** Validates [configuration]. Returns the first error, or null if it is valid. */
-public fun faultOf(configuration: ServiceConfiguration): ConfigurationFault? =
-    routeFaultOf(configuration) ?: sharedKeyOf(configuration.workspaces.orEmpty())
+public fun faultOf(configuration: ServiceConfiguration): ConfigurationFault? = faultsOf(configuration).firstOrNull()
 
-private fun sharedKeyOf(workspaces: List<Workspace>): ConfigurationFault.SharedKey? {
+/** Validates [configuration]. Returns the first error of each route, then the keys that workspaces share. */
+public fun faultsOf(configuration: ServiceConfiguration): Sequence<ConfigurationFault> =
+    routeFaultsOf(configuration) + sharedKeysOf(configuration.workspaces.orEmpty())
+
+private fun sharedKeysOf(workspaces: List<Workspace>): Sequence<ConfigurationFault.SharedKey> = sequence {
     val owners = HashMap<String, WorkspaceName>()
     for (workspace in workspaces) {
         for (key in workspace.keys) {
             val owner = owners.putIfAbsent(key, workspace.name)
-            if (owner != null && owner != workspace.name) return ConfigurationFault.SharedKey(owner, workspace.name)
+            if (owner != null && owner != workspace.name) yield(ConfigurationFault.SharedKey(owner, workspace.name))
         }
     }
-    return null
 }
 
-private fun routeFaultOf(configuration: ServiceConfiguration): ConfigurationFault? {
+private fun routeFaultsOf(configuration: ServiceConfiguration): Sequence<ConfigurationFault> = sequence {
     val services = configuration.services.mapTo(HashSet()) { it.name }
     val hostsAndPrefixes = HashSet<Pair<String, String>>()
-    return configuration.routes.firstNotNullOfOrNull { route ->
+    for (route in configuration.routes) {
         val unknown = route.shares.find { it.service !in services }
-        when {
+        val fault = when {
             unknown != null -> ConfigurationFault.UnknownService(route.name, unknown.service)
             route.shares.any { it.weight < 0 } -> ConfigurationFault.NoWeight(route.name)
             route.shares.sumOf { it.weight } <= 0 -> ConfigurationFault.NoWeight(route.name)
@@ -158,6 +160,7 @@
                 ConfigurationFault.DuplicatePlace(route.host, route.pathPrefix)
             else -> null
         }
+        fault?.let { yield(it) }
     }
 }
 
