--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -227,11 +227,11 @@
 
     private companion object {
         fun dispatchOptions(settings: GatewaySettings) = DispatchOptions(
-            itemOrder = when (settings.itemOrder) {
+            itemOrder = when (settings.scheduling.itemOrder) {
                 ItemOrderSetting.DUE_TIME -> ItemOrderKind.DUE_TIME
                 ItemOrderSetting.FAIR_SHARE -> ItemOrderKind.FAIR_SHARE
             },
-            placement = when (settings.placement) {
+            placement = when (settings.scheduling.placement) {
                 PlacementSetting.SLOTS -> PlacementKind.SLOTS
                 PlacementSetting.MEMORY -> PlacementKind.MEMORY
             },
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -144,7 +144,7 @@
         logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
     }
 
-    private fun newGate(): AdmissionGate = when (settings.liveAdmission) {
+    private fun newGate(): AdmissionGate = when (settings.scheduling.liveAdmission) {
         LiveAdmissionMode.NONE -> AdmissionGate.open(clock)
         LiveAdmissionMode.ADAPTIVE -> AdmissionGate(AdaptiveAdmission(), directory::capacity, clock)
     }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/GatewaySettings.kt
@@ -21,33 +21,6 @@
     CORE,
 }
 
-/** How an entry bounds its live requests in flight to a service. */
-public enum class LiveAdmissionMode {
-    /** Each request is sent at once. */
-    NONE,
-
-    /** A limit adapts to the answers of the upstreams. */
-    ADAPTIVE,
-}
-
-/** Order in which waiting items of batch jobs start. */
-public enum class ItemOrderSetting {
-    /** By the due time of their job. */
-    DUE_TIME,
-
-    /** By priority, then by the share of each workspace, then by the due time. */
-    FAIR_SHARE,
-}
-
-/** Condition under which an upstream takes a further item. */
-public enum class PlacementSetting {
-    /** A slot is free. */
-    SLOTS,
-
-    /** A slot is free, and the expected tokens of the item fit into the memory of the engine. */
-    MEMORY,
-}
-
 private val DEFAULT_DRAIN = 3.seconds
 private val DEFAULT_REVOCATION = 5.seconds
 
@@ -88,10 +61,8 @@
     public val hasStrictRevocation: Boolean = false,
     /** Duties that the leader of the service group performs for the platform. */
     public val duties: DutySettings = DutySettings(),
-    /** How an entry bounds its live requests in flight. */
-    public val liveAdmission: LiveAdmissionMode = LiveAdmissionMode.NONE,
-    public val itemOrder: ItemOrderSetting = ItemOrderSetting.DUE_TIME,
-    public val placement: PlacementSetting = PlacementSetting.SLOTS,
+    /** How requests and items share upstreams. */
+    public val scheduling: SchedulingSettings = SchedulingSettings(),
 ) {
     /** Returns the keys of the settings file whose values differ from those in [other]. */
     public fun keysThatDiffer(other: GatewaySettings): List<String> {
@@ -119,10 +90,7 @@
         "times.drain-milliseconds" to drain,
         "times.revoke-milliseconds" to revocation,
         "keys.strict-revocation" to hasStrictRevocation,
-        "scheduling.live-admission" to liveAdmission,
-        "scheduling.item-order" to itemOrder,
-        "scheduling.placement" to placement,
-    ) + duties.values()
+    ) + duties.values() + scheduling.values()
 }
 
 /** Reads and validates the INI file of a gateway process. Returns all errors at once. */
@@ -186,9 +154,7 @@
         val revocation = optional("times.revoke-milliseconds", NUMBER) { it.toDoubleOrNull() }
         val strictRevocation = optional("keys.strict-revocation", BOOLEAN) { it.toBooleanStrictOrNull() }
         val duties = duties()
-        val liveAdmission = choice("scheduling.live-admission", LiveAdmissionMode.entries)
-        val itemOrder = choice("scheduling.item-order", ItemOrderSetting.entries)
-        val placement = choice("scheduling.placement", PlacementSetting.entries)
+        val scheduling = scheduling()
         if (role == GatewayRole.CORE && dataFolder == null) reportMissingKey("process.data-folder", TEXT)
         reportUnknownKeys()
         if (errors.isNotEmpty()) return null
@@ -213,9 +179,7 @@
             revocation = revocation?.milliseconds ?: DEFAULT_REVOCATION,
             hasStrictRevocation = strictRevocation == true,
             duties = duties,
-            liveAdmission = liveAdmission ?: LiveAdmissionMode.NONE,
-            itemOrder = itemOrder ?: ItemOrderSetting.DUE_TIME,
-            placement = placement ?: PlacementSetting.SLOTS,
+            scheduling = scheduling,
         )
     }
 
@@ -234,6 +198,12 @@
         )
     }
 
+    private fun scheduling(): SchedulingSettings = SchedulingSettings(
+        choice("scheduling.live-admission", LiveAdmissionMode.entries) ?: LiveAdmissionMode.NONE,
+        choice("scheduling.item-order", ItemOrderSetting.entries) ?: ItemOrderSetting.DUE_TIME,
+        choice("scheduling.placement", PlacementSetting.entries) ?: PlacementSetting.SLOTS,
+    )
+
     private fun positive(text: String): Double? = text.toDoubleOrNull()?.takeIf { it > 0 && it.isFinite() }
 
     private fun <T : Enum<T>> choice(name: String, values: List<T>): T? {
--- a/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
+++ b/settings/src/test/kotlin/org/zinniahoist/settings/GatewaySettingsTest.kt
@@ -71,7 +71,7 @@
     @Test
     fun `take the admission of live requests from the file, or none`() {
         fun modeOf(text: String) =
-            GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it.liveAdmission })
+            GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it.scheduling.liveAdmission })
         expectThat(modeOf(core)).isEqualTo(LiveAdmissionMode.NONE)
         expectThat(modeOf("$core\n[scheduling]\nlive-admission = none")).isEqualTo(LiveAdmissionMode.NONE)
         expectThat(modeOf("$core\n[scheduling]\nlive-admission = adaptive")).isEqualTo(LiveAdmissionMode.ADAPTIVE)
@@ -84,10 +84,10 @@
     fun `take the scheduling from the file, or the defaults`() {
         fun read(text: String) = GatewaySettingsReader.parse("f.ini", text).fold({ error("$it") }, { it })
         val chosen = read("$core\n[scheduling]\nitem-order = fair-share\nplacement = memory")
-        expectThat(chosen.itemOrder to chosen.placement)
+        expectThat(chosen.scheduling.itemOrder to chosen.scheduling.placement)
             .isEqualTo(ItemOrderSetting.FAIR_SHARE to PlacementSetting.MEMORY)
         val defaults = read("$core\n[scheduling]\nitem-order =")
-        expectThat(defaults.itemOrder to defaults.placement)
+        expectThat(defaults.scheduling.itemOrder to defaults.scheduling.placement)
             .isEqualTo(ItemOrderSetting.DUE_TIME to PlacementSetting.SLOTS)
         expectThat(errors("$core\n[scheduling]\nplacement = slot"))
             .containsExactly("key 'scheduling.placement' has value 'slot'; allowed: slots, memory")
