Order the number of upstreams of services with scaling

Cause: the platform runs as many upstreams as the holder of a duty orders, and upstreams cost by the second.

Entries report the time of live requests of such services with their counts. A configuration whose bounds contradict each other is invalid.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -55,7 +55,7 @@
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val thread = EngineThread(onFailure = onFailure)
     private val machine = ServiceStateMachine(this)
-    private val usage = UsageReceiver(machine.usage)
+    private val usage = UsageReceiver(machine.usage, clock)
     private val jobs = JobCallHandler(dialect, machine, usage) { host }
     private val hello = LinkMessage.Hello(
         protocolVersion = LinkLimits.PROTOCOL_VERSION,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderDuties.kt
@@ -9,10 +9,12 @@
 internal class LeaderDuties(
     private val calls: DutyCalls,
     private val usage: UsageDuty?,
+    private val counts: UpstreamCountDuty? = null,
 ) {
     fun activate(authority: OrderAuthority, term: Long) {
         calls.activate(authority)
         usage?.activate(term)
+        counts?.activate()
     }
 
     fun deactivate(): Unit = calls.deactivate()
@@ -21,7 +23,9 @@
     fun tick(isActive: Boolean, now: Moment) {
         usage?.observeClock()
         if (!isActive) return
-        calls.grant(now)?.let { usage?.tick(it) }
+        val grant = calls.grant(now) ?: return
+        usage?.tick(grant)
+        counts?.tick(grant)
     }
 
     companion object {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -20,6 +20,7 @@
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.policy.dispatch.WeightLoader
+import org.zinniahoist.policy.duty.DemandCountPolicy
 import org.zinniahoist.policy.duty.UsageWindows
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.RouteTable
@@ -172,7 +173,9 @@
         )
         val isReportingUsage = dialect.usageReports in settings.duties.names
         val usageDuty = if (isReportingUsage) usageDuty(dialect, usage, dutyCalls) else null
-        return LeaderDuties(dutyCalls, usageDuty)
+        val isOrderingCounts = dialect.upstreamCounts in settings.duties.names
+        val countDuty = if (isOrderingCounts) countDuty(dialect, usage, dutyCalls) else null
+        return LeaderDuties(dutyCalls, usageDuty, countDuty)
     }
 
     private fun usageDuty(dialect: DutyDialect, usage: UsageReceiver, dutyCalls: DutyCalls) = UsageDuty(
@@ -189,6 +192,21 @@
         metrics,
     )
 
+    private fun countDuty(dialect: DutyDialect, usage: UsageReceiver, dutyCalls: DutyCalls): UpstreamCountDuty {
+        val demand = UpstreamDemand({ machine.jobs }, engine.registry, usage.live)
+        return UpstreamCountDuty(
+            dialect,
+            DemandCountPolicy(),
+            { now -> engine.routes?.let { demand.services(it, now) }.orEmpty() },
+            LeaderDuties.callInterval(settings.duties),
+            scope,
+            thread::post,
+            clock,
+            dutyCalls::send,
+            metrics,
+        )
+    }
+
     private suspend fun confirmLeadership(): Boolean = host().query(ByteArray(0)).await().isRight()
 
     private fun propose(command: ServiceCommand, onReply: (ServiceReply) -> Unit) {
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryHttp.kt
@@ -235,6 +235,7 @@
         val headers = authentication.forwardedHeaders(incoming.http.headers(), caller)
         val deadline = incoming.arrival + Forwarder.timeBudget(headers.get(names.remainingMilliseconds), route.timeout)
         val identifier = headers.get(names.requestIdentifier)
+        usage?.let { it.onBegin(incoming, route) }
         return ForwardedRequest(
             headers,
             body,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.runBlocking
 import org.zinniahoist.gateway.GatewayProcess
 import org.zinniahoist.gateway.core.ReplicaGroup
+import org.zinniahoist.gateway.dialect.DutyDialect
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.framing.OriginalRequests
 import org.zinniahoist.gateway.framing.RequestFramingHandler
@@ -79,7 +80,7 @@
     private lateinit var readinessServer: Server
 
     override fun start() {
-        if (dialect.duties.usageReports in settings.duties.names) startUsageRecorder()
+        startUsageRecorder(dialect.duties)
         clientServer = startServer(checkNotNull(settings.clients)) { builder ->
             builder.childChannelPipelineCustomizer { it.addFirst(newFramingHandler()) }
             builder.http1MaxInitialLineLength(LIBRARY_HEAD_BYTES)
@@ -117,9 +118,14 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
-    private fun startUsageRecorder() {
+    private fun startUsageRecorder(duties: DutyDialect) {
+        val names = settings.duties.names
+        val isCounting = duties.usageReports in names
+        if (!isCounting && duties.upstreamCounts !in names) return
         val windows = UsageWindows(settings.duties.reportWindow, settings.duties.reportLateness)
-        http.usage = UsageRecorder(hello.incarnation, windows, core, clock, metrics).also { it.start(scope) }
+        val recorder = UsageRecorder(hello.incarnation, windows, isCounting, core, clock, metrics)
+        http.usage = recorder
+        recorder.start(scope)
     }
 
     private fun newFramingHandler() = RequestFramingHandler(dialect.headers.requestIdentifier) { fault ->
@@ -149,7 +155,9 @@
         dialect.configuration(document).fold(
             { logger.error { "event=configuration-invalid revision=$revision fault=\"$it\"" } },
             { configuration ->
-                http.routes = RouteTable(configuration)
+                val routes = RouteTable(configuration)
+                http.routes = routes
+                http.usage?.scaledServices = routes.scaling.keys
                 logger.info { "event=configuration-in-force revision=$revision routes=${configuration.routes.size}" }
             },
         )
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UsageRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/UsageRecorder.kt
@@ -7,10 +7,12 @@
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.model.Incarnation
 import org.zinniahoist.model.Moment
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.policy.duty.SteadyWallClock
 import org.zinniahoist.policy.duty.UsageCounter
 import org.zinniahoist.policy.duty.UsageWindows
+import org.zinniahoist.policy.routes.Route
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import java.util.concurrent.atomic.AtomicBoolean
@@ -31,6 +33,7 @@
 internal class UsageRecorder(
     private val incarnation: Incarnation,
     windows: UsageWindows,
+    private val isCounting: Boolean,
     private val core: CoreClient,
     private val clock: () -> Moment,
     private val metrics: GatewayMetrics,
@@ -39,9 +42,13 @@
     private val wallClock = SteadyWallClock(clock(), wallMilliseconds())
     private val counter = UsageCounter(windows)
 
+    /** Services whose number of upstreams is ordered, for which the time of live requests is measured. */
+    @Volatile
+    var scaledServices: Set<ServiceName> = emptySet()
+
     /** Returns the count of a new request of [caller]; requests without a workspace are not counted. */
     fun newRequest(caller: Caller): RequestUsage {
-        if (caller !is Caller.Member) return RequestUsage.NONE
+        if (!isCounting || caller !is Caller.Member) return RequestUsage.NONE
         val isCounted = AtomicBoolean()
         return RequestUsage { ranFrom -> if (!isCounted.getAndSet(true)) count(caller.workspace, ranFrom) }
     }
@@ -50,6 +57,17 @@
         if (!counter.add(workspace, wallClock.at(ranFrom))) metrics.onEvent("usage_count", "window_closed")
     }
 
+    /** Measures the time of [incoming], a live request on [route]. */
+    fun onBegin(incoming: IncomingRequest, route: Route) {
+        val shares = route.shares.filter { it.weight > 0 && it.service in scaledServices }
+        if (shares.isEmpty()) return
+        val weights = route.shares.sumOf { it.weight }
+        incoming.context.log().whenComplete().thenRun {
+            val time = clock() - incoming.arrival
+            shares.forEach { counter.addBusy(it.service, time * it.weight / weights) }
+        }
+    }
+
     /** Reports the counts until [scope] is cancelled. */
     fun start(scope: CoroutineScope) {
         scope.launch {
@@ -64,7 +82,8 @@
         val now = clock()
         wallClock.observe(now, wallMilliseconds())
         val report = counter.pendingReport(wallClock.at(now), core.leaderTerm) ?: return
-        val reply = core.callLeader(ServiceCall.ReportUsage(incarnation, report.windows), REPORT_TIMEOUT)
+        val call = ServiceCall.ReportUsage(incarnation, report.windows, report.busyMilliseconds)
+        val reply = core.callLeader(call, REPORT_TIMEOUT)
         if (reply is ServiceReply.UsageReceived) {
             counter.onAccepted(report, reply.term, reply.newestClosed)
         } else {
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamRegistry.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/UpstreamRegistry.kt
@@ -231,6 +231,12 @@
     /** Returns the event interval of [tracked] in milliseconds; the median of all upstreams before it is measured. */
     public fun paceOf(tracked: TrackedUpstream): Double = tracked.knownEventInterval ?: medianEventInterval()
 
+    /** Returns the median tokens a second that one slot of [upstreams] makes, or null if none has been measured. */
+    public fun tokensPerSecond(upstreams: Collection<TrackedUpstream>): Double? {
+        val known = upstreams.mapNotNull { it.knownEventInterval }.sorted()
+        return if (known.isEmpty()) null else MILLISECONDS_PER_SECOND / known[known.size / 2].coerceAtLeast(1.0)
+    }
+
     /** Returns the median event interval of all listed upstreams in milliseconds. */
     public fun medianEventInterval(): Double {
         val known = examined().mapNotNull { it.knownEventInterval }.sorted()
@@ -254,6 +260,7 @@
         /** Listings that may lack an upstream before its state is evicted. */
         const val RETAINED_LISTINGS = 10
         const val MICROSECONDS_PER_MILLISECOND = 1_000.0
+        const val MILLISECONDS_PER_SECOND = 1_000.0
 
         /** Weight of a new interval in the moving average; follows a slower upstream within about ten events. */
         const val SMOOTHING_FACTOR = 0.1
--- a/policy/src/main/kotlin/org/zinniahoist/policy/duty/UsageCounter.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/duty/UsageCounter.kt
@@ -1,7 +1,9 @@
 package org.zinniahoist.policy.duty
 
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.WorkspaceName
 import java.util.TreeMap
+import kotlin.time.Duration
 
 /** Requests by window and workspace. */
 public typealias WindowCounts = Map<Long, Map<WorkspaceName, Long>>
@@ -10,11 +12,14 @@
 public class UsageReport internal constructor(
     internal val version: Long,
     public val windows: WindowCounts,
+    /** Time of all live requests since the start, in milliseconds, by service with scaling. */
+    public val busyMilliseconds: Map<ServiceName, Long>,
 )
 
 /** Counts the requests of an entry by window and workspace, and decides when to report them. Thread-safe. */
 public class UsageCounter(private val windows: UsageWindows) {
     private val counts = TreeMap<Long, HashMap<WorkspaceName, Long>>()
+    private val busyMilliseconds = HashMap<ServiceName, Long>()
     private var version = 0L
     private var acceptedVersion = 0L
     private var acceptedTerm = 0L
@@ -30,6 +35,13 @@
         return true
     }
 
+    /** Adds the [time] of a live request of [service], which has ended. */
+    @Synchronized
+    public fun addBusy(service: ServiceName, time: Duration) {
+        busyMilliseconds.merge(service, time.inWholeMilliseconds, Long::plus)
+        version++
+    }
+
     /**
      * Returns the report to send at [wallMilliseconds] to the leader of [term], or null if it has the same already.
      * A leader of a later term than the one that accepted the last report does not have it.
@@ -38,8 +50,13 @@
     public fun pendingReport(wallMilliseconds: Long, term: Long): UsageReport? {
         counts.headMap(windows.oldestCounted(wallMilliseconds)).clear()
         val isKnown = version == acceptedVersion && term <= acceptedTerm
-        if (counts.isEmpty() || isKnown) return null
-        return UsageReport(version, counts.mapValues { (_, byWorkspace) -> byWorkspace.toMap() })
+        val isEmpty = counts.isEmpty() && busyMilliseconds.isEmpty()
+        if (isEmpty || isKnown) return null
+        return UsageReport(
+            version,
+            counts.mapValues { (_, byWorkspace) -> byWorkspace.toMap() },
+            busyMilliseconds.toMap(),
+        )
     }
 
     /** Records that the leader of [term] has accepted [report] and that windows up to [closed] are closed. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/RouteTable.kt
@@ -15,6 +15,10 @@
 
     /** Whether the configuration has workspaces, so that callers need keys. */
     public val hasWorkspaces: Boolean = configuration.workspaces != null
+
+    /** Bounds of the number of upstreams, by service; other services are left alone. */
+    public val scaling: Map<ServiceName, ScalingBounds> =
+        configuration.services.mapNotNull { service -> service.scaling?.let { service.name to it } }.toMap()
     private val workspacesByKey = configuration.workspaces.orEmpty()
         .flatMap { workspace -> workspace.keys.map { it to workspace } }
         .toMap()
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -66,6 +66,14 @@
     public val name: ServiceName,
     /** Maximum number of connections that one upstream accepts from all callers together. */
     public val maximumConnections: Int,
+    /** Bounds of the number of upstreams in one failure domain, or null if that is not ordered. */
+    public val scaling: ScalingBounds? = null,
+)
+
+/** Bounds between which the platform holds the number of upstreams of a service in one failure domain. */
+public data class ScalingBounds(
+    public val minimum: Int,
+    public val maximum: Int,
 )
 
 /** A group of callers that share their jobs, and the keys with which they authenticate. */
@@ -121,6 +129,9 @@
     /** The path prefix of a route doesn't begin and end with a slash. */
     public data class MalformedPrefix(public val route: String) : ConfigurationFault
 
+    /** The bounds of the number of upstreams of a service are negative or contradict each other. */
+    public data class InvalidScaling(public val service: ServiceName) : ConfigurationFault
+
     /** Two workspaces have the same key, which is not part of the message because it is secret. */
     public data class SharedKey(
         public val workspace: WorkspaceName,
@@ -130,7 +141,11 @@
 
 /** Validates [configuration]. Returns the first error, or null if it is valid. */
 public fun faultOf(configuration: ServiceConfiguration): ConfigurationFault? =
-    routeFaultOf(configuration) ?: sharedKeyOf(configuration.workspaces.orEmpty())
+    routeFaultOf(configuration) ?: scalingFaultOf(configuration) ?: sharedKeyOf(configuration.workspaces.orEmpty())
+
+private fun scalingFaultOf(configuration: ServiceConfiguration): ConfigurationFault? = configuration.services
+    .find { service -> service.scaling?.let { it.minimum !in 0..it.maximum } == true }
+    ?.let { ConfigurationFault.InvalidScaling(it.name) }
 
 private fun sharedKeyOf(workspaces: List<Workspace>): ConfigurationFault.SharedKey? {
     val owners = HashMap<String, WorkspaceName>()
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -8,6 +8,7 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Revision
+import org.zinniahoist.model.ServiceName
 import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WorkspaceName
 
@@ -153,6 +154,8 @@
     public data class ReportUsage(
         public val incarnation: Incarnation,
         public val windows: Map<Long, Map<WorkspaceName, Long>>,
+        /** Time of all live requests since its start, by service whose number of upstreams is ordered. */
+        public val busyMilliseconds: Map<ServiceName, Long> = emptyMap(),
     ) : ServiceCall
 }
 
