--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/EntryFixture.kt
@@ -43,6 +43,7 @@
 import org.zinniahoist.settings.GatewayRole
 import org.zinniahoist.settings.GatewaySettings
 import org.zinniahoist.settings.LiveAdmissionMode
+import org.zinniahoist.settings.SchedulingSettings
 import org.zinniahoist.wire.HeartbeatContent
 import org.zinniahoist.wire.LinkCloseCause
 import org.zinniahoist.wire.LinkConnection
@@ -181,7 +182,7 @@
         listEndpoint = Endpoint(HOST, upstream.activeLocalPort()),
         grace = grace,
         orderLease = 1.seconds,
-        liveAdmission = liveAdmission,
+        scheduling = SchedulingSettings(liveAdmission),
     )
 
     private fun hello() = LinkMessage.Hello(
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ServiceConfiguration.kt
@@ -68,6 +68,8 @@
     public val maximumConnections: Int,
     /** Terms of the service's engines, or null if the configuration names none. */
     public val engine: EngineTerms? = null,
+    /** Bounds of the number of upstreams in one failure domain, or null if that is not ordered. */
+    public val scaling: ScalingBounds? = null,
 )
 
 /** Capacity of one engine of a service, as far as the configuration names it. */
@@ -77,6 +79,12 @@
     public val memoryTokens: Long? = null,
 )
 
+/** Bounds between which the platform holds the number of upstreams of a service in one failure domain. */
+public data class ScalingBounds(
+    public val minimum: Int,
+    public val maximum: Int,
+)
+
 /** A group of callers that share their jobs, and the keys with which they authenticate. */
 public class Workspace(
     public val name: WorkspaceName,
