Take the slots of the configuration review from the engine's terms

Cause: the check of a configuration and the placement of items both read the slots of an engine, each by a way of its own. Change: the review uses ServiceEntry.engine.

--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ConfigurationReview.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ConfigurationReview.kt
@@ -19,7 +19,7 @@
         }
         addAll(duplicateNames(configuration))
         addAll(unusedServices(configuration))
-        for (service in configuration.services) connectionsBelowSlots(service, context)?.let(::add)
+        for (service in configuration.services) connectionsBelowSlots(service)?.let(::add)
         for (workspace in configuration.workspaces.orEmpty().filter { it.keys.isEmpty() }) {
             add(warning(OfWorkspace(workspace.name), ConfigurationField.KEYS, "no key, so no request can belong to it"))
         }
@@ -134,8 +134,8 @@
         }
     }
 
-    private fun connectionsBelowSlots(service: ServiceEntry, context: ReviewContext): ReviewFinding? {
-        val slots = context.slots[service.name] ?: return null
+    private fun connectionsBelowSlots(service: ServiceEntry): ReviewFinding? {
+        val slots = service.engine?.slots ?: return null
         // Without a stated number, zero is decoded, which limits nothing.
         if (service.maximumConnections !in 1 until slots) return null
         val message = "${service.maximumConnections} is below the slots of an upstream, $slots"
--- a/policy/src/main/kotlin/org/zinniahoist/policy/routes/ReviewFinding.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/routes/ReviewFinding.kt
@@ -65,8 +65,6 @@
     public val reserved: List<ReservedPrefix> = emptyList(),
     /** Stated attempts of each route by name, before they are raised to one. */
     public val statedAttempts: Map<String, Int> = emptyMap(),
-    /** Slots of one upstream, for each service that states them. */
-    public val slots: Map<ServiceName, Int> = emptyMap(),
 )
 
 /** How a part of a configuration differs from another one. */
--- a/policy/src/test/kotlin/org/zinniahoist/policy/routes/ConfigurationReviewTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/routes/ConfigurationReviewTest.kt
@@ -108,8 +108,10 @@
         val batch = BatchTerms(due = 1.seconds, keep = 1.seconds, singleVersion = false)
         val late = route.copy(name = "late", target = 3.seconds)
         val kept = route.copy(name = "kept", pathPrefix = "/k/", kind = RouteKind.BATCH, batch = batch)
-        val context = ReviewContext(statedAttempts = mapOf("kept" to 0), slots = mapOf(service.name to 101))
-        expectThat(fieldsOf(configuration(late, kept), context)).containsExactlyInAnyOrder(
+        val context = ReviewContext(statedAttempts = mapOf("kept" to 0))
+        val crowded = service.copy(engine = EngineTerms(slots = 101))
+        val contradicting = configuration(late, kept, services = listOf(crowded))
+        expectThat(fieldsOf(contradicting, context)).containsExactlyInAnyOrder(
             warnings(
                 ConfigurationField.TARGET,
                 ConfigurationField.MAXIMUM_ATTEMPTS,
