Bound what clients can make a process hold

Cause: the addresses for clients, probes and operators read and ran all requests of a connection at once, took any number of connections, held heads and operators' bodies without a common bound, and kept responses for as long as nobody read them. A new link could announce a first frame of 40 MB, and a full queue of log lines held the paths and identifiers of clients at full length.

Change: ClientConnections builds the servers of all three addresses. One request of a connection is under way; the rest waits in the sockets. Heads and requests sent ahead take a quarter of the direct memory, operators' bodies and responses a quarter of the heap; responses about batch jobs count in ResponseMemory. Connections are limited for each address, and idle ones make room for new ones. A connection is closed after 15 s with half a head or an unread response.

Not run: the other tests of gateway.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.server.Server
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.util.internal.PlatformDependent
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -13,6 +14,7 @@
 import org.zinniahoist.consensus.GroupStatus
 import org.zinniahoist.consensus.ReplicaTransport
 import org.zinniahoist.gateway.GatewayProcess
+import org.zinniahoist.gateway.connections.ClientConnections
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.DocumentCompression
 import org.zinniahoist.gateway.link.PeerLinks
@@ -39,7 +41,6 @@
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.LinkServer
-import java.net.InetSocketAddress
 import kotlin.random.Random
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -80,6 +81,15 @@
         clock,
         PeerLinks.LIMITS,
     )
+    private val operatorMemory = OperatorMemory(Runtime.getRuntime().maxMemory())
+    private val operators = ClientConnections(
+        "operators",
+        ClientConnections.internalLimits(),
+        ClientConnections.inputBudget(PlatformDependent.maxDirectMemory()),
+        dialect.headers.requestIdentifier,
+        metrics,
+        clock,
+    ) { metrics.onEvent("request_malformed", it.name.lowercase()) }
     private lateinit var host: GroupHost
     private lateinit var retirements: Retirements
     private lateinit var operatorServer: Server
@@ -98,6 +108,9 @@
         metrics.gauge("zinniahoist_replica_stopped", "1 while the replica can't use its disk or its log.") {
             if (host.status.failure != null) 1 else 0
         }
+        metrics.gauges("zinniahoist_connections", "Open connections of clients, by address.", "address") {
+            mapOf("operators" to operators.size)
+        }
         thread.load.registerGauges(metrics)
         thread.repeat(TICK, ::tick)
         duties.start()
@@ -106,14 +119,10 @@
 
     private fun startOperatorServer(): Server {
         val endpoint = checkNotNull(settings.operators) { "a core needs an address for operators" }
-        val service = OperatorHttp(dialect, jobs, machine, host, links, retirements, scope, endpoint.port)
-        val server = Server.builder()
-            .http(InetSocketAddress(endpoint.host, endpoint.port))
-            .maxRequestLength(MAXIMUM_BODY_BYTES)
-            .requestTimeoutMillis(0)
+        val service =
+            OperatorHttp(dialect, jobs, machine, host, links, retirements, scope, endpoint.port, operatorMemory)
+        val server = operators.newServer(endpoint, metrics.serviceOr(service))
             .gracefulShutdownTimeoutMillis(0, OperatorHttp.ANSWER_TIMEOUT.inWholeMilliseconds)
-            .service(GatewayMetrics.PATH, metrics.service())
-            .serviceUnder("/", service)
             .build()
         server.start().join()
         return server
@@ -203,8 +212,5 @@
 
         /** Allows for the election of a successor, which takes a few round trips. */
         val HAND_OVER_TIME = 150.milliseconds
-
-        /** Size limit of a request body from an operator, in bytes. */
-        const val MAXIMUM_BODY_BYTES = 34L shl 20
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/OperatorHttp.kt
@@ -1,7 +1,6 @@
 package org.zinniahoist.gateway.core
 
 import arrow.core.getOrElse
-import com.linecorp.armeria.common.AggregatedHttpRequest
 import com.linecorp.armeria.common.HttpData
 import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
@@ -12,13 +11,18 @@
 import com.linecorp.armeria.server.ServiceRequestContext
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.future.await
 import kotlinx.coroutines.future.future
 import kotlinx.coroutines.withTimeoutOrNull
 import org.zinniahoist.consensus.GroupHost
 import org.zinniahoist.gateway.dialect.OperatorCall
 import org.zinniahoist.gateway.dialect.PlatformDialect
+import org.zinniahoist.gateway.entry.BodyBudget
+import org.zinniahoist.gateway.entry.ReadBody
+import org.zinniahoist.gateway.entry.RequestBodyReader
 import org.zinniahoist.gateway.link.DocumentCompression
+import org.zinniahoist.gateway.upstream.AnswerMemoryException
+import org.zinniahoist.gateway.upstream.RequestBody
+import org.zinniahoist.gateway.upstream.ResponseMemory
 import org.zinniahoist.model.Endpoint
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.policy.routes.ServiceConfiguration
@@ -28,6 +32,7 @@
 import org.zinniahoist.wire.ServiceCall
 import org.zinniahoist.wire.ServiceReply
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 
 /** HTTP service for calls of operators and trainers. Followers redirect the caller to the leader. */
 internal class OperatorHttp(
@@ -39,34 +44,61 @@
     private val retirements: Retirements,
     private val scope: CoroutineScope,
     private val port: Int,
+    private val memory: OperatorMemory = OperatorMemory(Runtime.getRuntime().maxMemory()),
 ) : HttpService {
-    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse =
-        HttpResponse.of(scope.future { answer(request) })
+    override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        val body = memory.requests.newReservation()
+        val response = memory.responses.newReservation()
+        context.log().whenComplete().thenRun {
+            body.close()
+            response.close()
+        }
+        return HttpResponse.of(scope.future { answer(context, request, body, response) })
+    }
 
-    private suspend fun answer(request: HttpRequest): HttpResponse {
+    private suspend fun answer(
+        context: ServiceRequestContext,
+        request: HttpRequest,
+        reservation: BodyBudget.Reservation,
+        responseMemory: ResponseMemory.Reservation,
+    ): HttpResponse {
         val method = request.method().name
         val path = request.path()
         val call = dialect.operatorCall(method, path.substringBefore('?'))
-        val aggregated = try {
-            request.aggregate().await()
+        val read = try {
+            RequestBodyReader.read(request, reservation, UPLOAD_TIMEOUT)
         } catch (failure: Exception) {
             logger.info { "event=operator-request-broken path=$path cause=\"$failure\"" }
             return HttpResponse.of(HttpStatus.BAD_REQUEST)
         }
+        if (read !is ReadBody.Whole) {
+            logger.info { "event=operator-body-refused path=$path cause=${read::class.simpleName}" }
+            // The rest of the body is not read.
+            context.initiateConnectionShutdown()
+            val isLate = read is ReadBody.Late
+            return HttpResponse.of(if (isLate) HttpStatus.REQUEST_TIMEOUT else HttpStatus.SERVICE_UNAVAILABLE)
+        }
+        val body = read.body
         if (call == null) return HttpResponse.of(HttpStatus.NOT_FOUND)
-        val response = withTimeoutOrNull(ANSWER_TIMEOUT) { execute(call, aggregated) }
+        val response = withTimeoutOrNull(ANSWER_TIMEOUT) { execute(call, body) }
             ?: Outcome(HttpStatus.SERVICE_UNAVAILABLE, "call not completed within $ANSWER_TIMEOUT")
         logger.info {
-            "event=operator-call call=$call status=${response.status.code()} bytes=${aggregated.content().length()} " +
+            "event=operator-call call=$call status=${response.status.code()} bytes=${body.size} " +
                 "detail=\"${response.detail}\""
         }
-        return response.toHttp(path)
+        return try {
+            responseMemory.reserve(response.content.size)
+            response.toHttp(path)
+        } catch (exhausted: AnswerMemoryException) {
+            logger.warn { "event=operator-response-discarded path=$path cause=\"$exhausted\"" }
+            HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+        }
     }
 
-    private suspend fun execute(call: OperatorCall, request: AggregatedHttpRequest): Outcome = when (call) {
-        is OperatorCall.Configure -> configure(request.content().array())
+    private suspend fun execute(call: OperatorCall, body: RequestBody): Outcome = when (call) {
+        is OperatorCall.Configure -> configure(body.toByteArray())
         is OperatorCall.ReadConfiguration -> readConfiguration()
-        is OperatorCall.NameVersion -> nameVersion(request.content().array())
+        is OperatorCall.NameVersion -> nameVersion(body.toByteArray())
         is OperatorCall.Retire -> retire(call.machine)
         is OperatorCall.ReadRetirement -> readRetirement(call.machine)
     }
@@ -156,6 +188,9 @@
         private val EMPTY = ByteArray(0)
         private val EMPTY_OBJECT = "{}".encodeToByteArray()
 
+        /** Longest time that an operator may take to send a body. */
+        private val UPLOAD_TIMEOUT = 60.seconds
+
         /** Shorter than the one second after which callers try another replica. */
         val ANSWER_TIMEOUT = 900.milliseconds
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/EntryProcess.kt
@@ -2,10 +2,10 @@
 
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
-import com.linecorp.armeria.common.metric.NoopMeterRegistry
+import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.Server
-import com.linecorp.armeria.server.ServerBuilder
 import io.github.oshai.kotlinlogging.KotlinLogging
+import io.netty.util.internal.PlatformDependent
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -13,10 +13,10 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.zinniahoist.gateway.GatewayProcess
+import org.zinniahoist.gateway.connections.ClientConnections
 import org.zinniahoist.gateway.core.ReplicaGroup
 import org.zinniahoist.gateway.dialect.PlatformDialect
-import org.zinniahoist.gateway.framing.OriginalRequests
-import org.zinniahoist.gateway.framing.RequestFramingHandler
+import org.zinniahoist.gateway.framing.MessageFault
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.link.CoreObserver
 import org.zinniahoist.gateway.link.toEvidence
@@ -36,6 +36,7 @@
 import org.zinniahoist.model.Revision
 import org.zinniahoist.model.Role
 import org.zinniahoist.model.UpstreamIdentity
+import org.zinniahoist.policy.connections.ConnectionLimits
 import org.zinniahoist.policy.liveness.LeavingUpstreams
 import org.zinniahoist.policy.routes.KeyFreshness
 import org.zinniahoist.policy.routes.LeastLatencyBalancer
@@ -45,9 +46,7 @@
 import org.zinniahoist.wire.LinkLimits
 import org.zinniahoist.wire.LinkMessage
 import org.zinniahoist.wire.ServiceMessage
-import java.net.InetSocketAddress
 import kotlin.random.Random
-import kotlin.time.Duration.Companion.seconds
 import kotlin.time.DurationUnit
 
 /** Runs the role `entry`, which serves client requests. */
@@ -73,21 +72,18 @@
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { core.report(it.toReport(clock())) }
     private val keys = KeyFreshness(settings.revocation, settings.hasStrictRevocation)
     private val http = EntryHttp(dialect, core, directory, calls, scope, clock, metrics, memory, keys, crashes)
+    private val input = ClientConnections.inputBudget(PlatformDependent.maxDirectMemory())
+    private val clients =
+        newConnections("clients", ClientConnections.clientLimits(Runtime.getRuntime().maxMemory()))
+    private val probes = newConnections("readiness", ClientConnections.internalLimits())
     private lateinit var clientServer: Server
     private lateinit var readinessServer: Server
 
     override fun start() {
-        clientServer = startServer(checkNotNull(settings.clients)) { builder ->
-            builder.childChannelPipelineCustomizer { it.addFirst(newFramingHandler()) }
-            builder.http1MaxInitialLineLength(LIBRARY_HEAD_BYTES)
-            builder.http1MaxHeaderSize(LIBRARY_HEAD_BYTES)
-            builder.serviceUnder("/", OriginalRequests(http))
-        }
-        readinessServer = startServer(checkNotNull(settings.readiness)) { builder ->
-            builder.service(GatewayMetrics.PATH, metrics.service())
-            builder.serviceUnder("/") { _, _ ->
-                HttpResponse.of(if (isReady()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
-            }
+        clientServer = startServer(clients, checkNotNull(settings.clients), http)
+        readinessServer = startServer(probes, checkNotNull(settings.readiness), readinessService())
+        metrics.gauges("zinniahoist_connections", "Open connections of clients, by address.", "address") {
+            mapOf("clients" to clients.size, "readiness" to probes.size)
         }
         metrics.gauge("zinniahoist_requests_in_flight", "Client requests without a complete answer.") {
             http.requestsInFlight
@@ -114,7 +110,10 @@
         logger.info { "event=started role=entry machine=${settings.machine} clients=${settings.clients}" }
     }
 
-    private fun newFramingHandler() = RequestFramingHandler(dialect.headers.requestIdentifier) { fault ->
+    private fun newConnections(address: String, limits: ConnectionLimits) =
+        ClientConnections(address, limits, input, dialect.headers.requestIdentifier, metrics, clock, ::onFault)
+
+    private fun onFault(fault: MessageFault) {
         metrics.onEvent("request_malformed", fault.name.lowercase())
         logger.info { "event=request-malformed fault=${fault.name.lowercase()} status=${fault.status}" }
     }
@@ -126,17 +125,13 @@
     private fun isReady(): Boolean =
         http.phase == EntryPhase.SERVING && core.isSynchronized && http.routes != null && directory.isKnown
 
-    private fun startServer(endpoint: Endpoint, configure: (ServerBuilder) -> Unit): Server {
-        val builder = Server.builder()
-            .http(InetSocketAddress(endpoint.host, endpoint.port))
-            .meterRegistry(NoopMeterRegistry.get())
-            .requestTimeoutMillis(0)
-            .maxRequestLength(MAXIMUM_REQUEST_BYTES)
-            .idleTimeoutMillis(IDLE_TIMEOUT.inWholeMilliseconds)
-        configure(builder)
-        return builder.build().also { it.start().join() }
+    private fun readinessService() = metrics.serviceOr { _, _ ->
+        HttpResponse.of(if (isReady()) HttpStatus.OK else HttpStatus.SERVICE_UNAVAILABLE)
     }
 
+    private fun startServer(connections: ClientConnections, endpoint: Endpoint, service: HttpService): Server =
+        connections.newServer(endpoint, service).build().also { it.start().join() }
+
     override fun onConfiguration(revision: Revision, document: ByteArray) {
         dialect.configuration(document).fold(
             { logger.error { "event=configuration-invalid revision=$revision fault=\"$it\"" } },
@@ -180,14 +175,5 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-
-        /** Longer than any keep-alive time that a configuration guarantees to clients. */
-        val IDLE_TIMEOUT = 60.seconds
-
-        /** The library receives heads that are checked already, with targets in a form that is a third longer. */
-        const val LIBRARY_HEAD_BYTES = 2 * RequestFramingHandler.MAXIMUM_HEAD_BYTES
-
-        /** Slightly above the largest request body that operators allow. */
-        const val MAXIMUM_REQUEST_BYTES = 34L shl 20
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/JobRequests.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/JobRequests.kt
@@ -1,7 +1,6 @@
 package org.zinniahoist.gateway.entry
 
 import com.linecorp.armeria.common.HttpMethod
-import com.linecorp.armeria.common.HttpRequest
 import com.linecorp.armeria.common.HttpResponse
 import com.linecorp.armeria.common.HttpStatus
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -9,6 +8,7 @@
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.link.CoreClient
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.gateway.upstream.AnswerMemoryException
 import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.policy.routes.RefusalCause
 import org.zinniahoist.wire.JobAccess
@@ -47,7 +47,7 @@
         val reply = core.callLeader(ServiceCall.SubmitJob(host, path, job, body.toByteArray(), access), SUBMIT_TIMEOUT)
         metrics.onEvent("job_submission", reply.javaClass.simpleName)
         logger.info { "event=job-submission job=$job bytes=${body.size} reply=${reply::class.simpleName}" }
-        return respond(request, reply, success = HttpStatus.ACCEPTED)
+        return respond(incoming, reply, success = HttpStatus.ACCEPTED)
     }
 
     /** Makes [call] on behalf of [caller]. The leader decides whether the caller may access the job. */
@@ -70,17 +70,26 @@
         if (!incoming.guard.tryDispatchToCore()) return refusals.refuseForShutdown(request)
         val reply = core.callLeader(serviceCall, CALL_TIMEOUT + waitOf(serviceCall))
         logger.info { "event=job-call call=$call reply=${reply::class.simpleName}" }
-        return respond(request, reply, success = HttpStatus.OK)
+        return respond(incoming, reply, success = HttpStatus.OK)
     }
 
     private fun waitOf(call: ServiceCall): Duration =
         if (call is ServiceCall.ReadJob) call.waitMilliseconds.milliseconds else Duration.ZERO
 
-    private fun respond(request: HttpRequest, reply: ServiceReply, success: HttpStatus): HttpResponse = when (reply) {
-        is ServiceReply.Unavailable -> refusals.refuse(request, RefusalCause.NO_LEADER, reply.detail)
-        is ServiceReply.Unauthorized -> refusals.unauthorized(request, Caller.Anonymous)
-        else -> responses.of(reply, success)
-    }
+    private fun respond(incoming: IncomingRequest, reply: ServiceReply, success: HttpStatus): HttpResponse =
+        when (reply) {
+            is ServiceReply.Unavailable -> refusals.refuse(incoming.http, RefusalCause.NO_LEADER, reply.detail)
+
+            is ServiceReply.Unauthorized -> refusals.unauthorized(incoming.http, Caller.Anonymous)
+
+            else -> try {
+                responses.of(reply, success, incoming.response)
+            } catch (exhausted: AnswerMemoryException) {
+                // Not a 503, which would say that the call has not run.
+                logger.warn { "event=job-response-discarded path=${incoming.http.path()} cause=\"$exhausted\"" }
+                HttpResponse.of(HttpStatus.GATEWAY_TIMEOUT)
+            }
+        }
 
     private companion object {
         val logger = KotlinLogging.logger {}
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/OriginalRequests.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/framing/OriginalRequests.kt
@@ -7,13 +7,18 @@
 import com.linecorp.armeria.common.ResponseHeaders
 import com.linecorp.armeria.server.HttpService
 import com.linecorp.armeria.server.ServiceRequestContext
+import org.zinniahoist.gateway.connections.ClientConnectionHandler
 
 /**
  * Gives each request the target and the fields that its client sent before [delegate] serves it, and answers refused
- * requests.
+ * requests. Tells the connection of each request when its response is complete.
  */
 internal class OriginalRequests(private val delegate: HttpService) : HttpService {
     override fun serve(context: ServiceRequestContext, request: HttpRequest): HttpResponse {
+        val channel = context.log().partial().channel()
+        channel?.pipeline()?.get(ClientConnectionHandler::class.java)?.let { handler ->
+            context.log().whenComplete().thenRun { handler.onResponseComplete(channel) }
+        }
         val path = context.rawPath()
         val target = CarriedTarget.targetOf(path) ?: return refuse(context, CarriedTarget.refusalOf(path))
         return delegate.serve(context, request.withHeaders(originalHeaders(request.headers(), target)))
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/metrics/GatewayMetrics.kt
@@ -90,6 +90,15 @@
     fun service(): HttpService =
         HttpService { _, _ -> HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, text()) }
 
+    /** Returns an HTTP service that serves all metrics at [PATH], and all other paths by [other]. */
+    fun serviceOr(other: HttpService): HttpService {
+        val own = service()
+        return HttpService { context, request ->
+            val service = if (request.path().substringBefore('?') == PATH) own else other
+            service.serve(context, request)
+        }
+    }
+
     companion object {
         /** Path of the metrics on the readiness address of an entry and on the operator address of a core. */
         const val PATH = "/metrics"
--- a/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/FrameChannel.kt
@@ -30,19 +30,19 @@
     private var unacknowledgedBytes = 0
 
     /**
-     * Reads the next message. Calls [onProgress] after each header and each chunk.
+     * Reads the next message, whose frame may have [maximumBytes]. Calls [onProgress] after each header and each chunk.
      *
      * @throws FrameException if the frame is too large, corrupt or of an unknown message type.
      */
-    suspend fun read(onProgress: () -> Unit): Message {
-        val bytes = readFrame(onProgress)
+    suspend fun read(maximumBytes: Int = maximumFrameBytes, onProgress: () -> Unit): Message {
+        val bytes = readFrame(maximumBytes, onProgress)
         return when (val frame = FrameCodec.decode(bytes)) {
             is DecodedFrame.Whole -> frame.message
             is DecodedFrame.Damaged -> throw FrameException("corrupt frame: ${frame.detail}")
         }
     }
 
-    private suspend fun readFrame(onProgress: () -> Unit): ByteArray {
+    private suspend fun readFrame(maximumBytes: Int, onProgress: () -> Unit): ByteArray {
         val parts = ByteArrayOutputStream(0)
         while (true) {
             val header = input.readInt()
@@ -53,7 +53,7 @@
             }
             val size = header and SIZE_MASK
             // Checked before the allocation, so that a length prefix alone can't make this process allocate memory.
-            if (size !in 1..maximumFrameBytes - parts.size()) throw FrameException("invalid frame length $size")
+            if (size !in 1..maximumBytes - parts.size()) throw FrameException("invalid frame length $size")
             val chunk = ByteArray(size)
             input.readFully(chunk)
             onProgress()
@@ -61,7 +61,7 @@
             parts.write(chunk)
             if (header and MORE_FLAG != 0) continue
             val frame = if (parts.size() == size) chunk else parts.toByteArray()
-            return if (header and COMPRESSED_FLAG != 0) FrameCompression.decompress(frame, maximumFrameBytes) else frame
+            return if (header and COMPRESSED_FLAG != 0) FrameCompression.decompress(frame, maximumBytes) else frame
         }
     }
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkLimits.kt
@@ -23,6 +23,10 @@
     /** Size of the unsent frames of a link, in bytes before compression, from which `offer` rejects further frames. */
     public val sendQueueBytes: Long = SEND_QUEUE_BYTES,
     public val maximumFrameBytes: Int = MAXIMUM_FRAME_BYTES,
+    /** Size limit of the first frame, which a peer sends before anything is known about it. */
+    public val maximumHelloBytes: Int = MAXIMUM_HELLO_BYTES,
+    /** Most connections that a [LinkServer] has open at the same time; it closes further ones. */
+    public val maximumLinks: Int = MAXIMUM_LINKS,
     public val firstBackoff: Duration = 50.milliseconds,
     public val maximumBackoff: Duration = 2.seconds,
 ) {
@@ -30,6 +34,12 @@
         /** 4 MiB, which fits the largest accepted request body and its envelope. */
         public const val MAXIMUM_FRAME_BYTES: Int = 4 * 1_024 * 1_024
 
+        /** Some hundred times the size of the names in a `Hello`. */
+        public const val MAXIMUM_HELLO_BYTES: Int = 64 * 1_024
+
+        /** Ten times the processes of the largest deployment. */
+        public const val MAXIMUM_LINKS: Int = 512
+
         /** Twice the limit of unacknowledged bytes that a consensus group sends to one replica. */
         public const val SEND_QUEUE_BYTES: Long = 8L shl 20
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkServer.kt
@@ -21,6 +21,7 @@
 import org.zinniahoist.model.Moment
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import java.net.InetSocketAddress as JavaAddress
 
 /** Accepts links on the address [bind]. Port 0 selects a free port. */
@@ -29,7 +30,7 @@
     hello: LinkMessage.Hello,
     handler: LinkHandler,
     heartbeat: () -> HeartbeatContent,
-    clock: () -> Moment,
+    private val clock: () -> Moment,
     private val limits: LinkLimits = LinkLimits(),
 ) : AutoCloseable {
     private val context = LinkContext(hello, handler, heartbeat, clock, limits)
@@ -37,6 +38,10 @@
     private val sessions = ConcurrentHashMap.newKeySet<LinkSession>()
     private var server: ServerSocket? = null
 
+    // Accessed by the accepting coroutine only.
+    private var refusedLinks = 0
+    private var lastRefusalLine = clock() - REFUSAL_LINE_INTERVAL
+
     @Volatile
     private var stopReason: String? = null
 
@@ -73,7 +78,13 @@
         while (!bound.isClosed) {
             try {
                 val socket = bound.accept()
-                scope.launch { serve(socket) }
+                if (sessions.size >= limits.maximumLinks) {
+                    refuse(socket)
+                    continue
+                }
+                val session = LinkSession(FrameChannel(socket, limits.maximumFrameBytes), context)
+                sessions += session
+                scope.launch { serve(socket, session) }
             } catch (fault: Exception) {
                 // A closed socket surfaces as exceptions of several types; only closing the server ends the loop.
                 currentCoroutineContext().ensureActive()
@@ -84,9 +95,17 @@
         }
     }
 
-    private suspend fun serve(socket: Socket) {
-        val session = LinkSession(FrameChannel(socket, limits.maximumFrameBytes), context)
-        sessions += session
+    private fun refuse(socket: Socket) {
+        socket.close()
+        val now = clock()
+        refusedLinks++
+        if (now - lastRefusalLine < REFUSAL_LINE_INTERVAL) return
+        logger.warn { "event=links-refused count=$refusedLinks maximum=${limits.maximumLinks}" }
+        lastRefusalLine = now
+        refusedLinks = 0
+    }
+
+    private suspend fun serve(socket: Socket, session: LinkSession) {
         // A connection accepted during stop() may be missing from the sessions that stop() closes.
         stopReason?.let(session::close)
         try {
@@ -102,6 +121,7 @@
     private companion object {
         val logger = KotlinLogging.logger {}
         val STOP_POLL_INTERVAL = 10.milliseconds
+        val REFUSAL_LINE_INTERVAL = 1.seconds
 
         /** Prevents a busy loop of failing accepts when the process is out of file descriptors. */
         val ACCEPT_RETRY_DELAY = 100.milliseconds
--- a/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/LinkSession.kt
@@ -96,7 +96,7 @@
     private suspend fun handshake(): String? = try {
         frames.write(encode(context.hello))
         frames.flush()
-        val first = readMessage()
+        val first = readMessage(limits.maximumHelloBytes)
         when {
             first !is LinkMessage.Hello -> "first message is not a Hello"
             first.protocolVersion != context.hello.protocolVersion -> refuseVersion(first)
@@ -198,7 +198,7 @@
         }
     }
 
-    private suspend fun readMessage(): Message = frames.read {
+    private suspend fun readMessage(maximumBytes: Int = limits.maximumFrameBytes): Message = frames.read(maximumBytes) {
         received++
         detector.onProgress(context.clock())
     }
