Test the lease, the collection time and quiet entries at a change of leader

Cause: a run with weakened rules showed that no test noticed a leader that closes windows at once or sends within the lease of its predecessor, nor entries that do not report again to a new leader when nothing changed.

The test of the collection time uses a lease that is shorter.

--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UsageDutyFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UsageDutyFixture.kt
@@ -20,7 +20,7 @@
 import kotlin.time.Duration.Companion.seconds
 
 /** Simulates entries, cores that lead in turn and the platform in virtual time, with one state for the whole log. */
-internal class UsageDutyFixture {
+internal class UsageDutyFixture(private val lease: Duration = 3.seconds) {
     val machine = ServiceStateMachine(SilentListener)
     val windows = UsageWindows(5.seconds, 10.seconds)
     val entries = List(3) { Entry(Incarnation(it.toLong())) }
@@ -97,7 +97,7 @@
         )
         private val duties = LeaderDuties(dutyCalls, duty)
 
-        fun activate() = duties.activate(OrderAuthority("m", drawFence(), now + LEASE, LEASE), term)
+        fun activate() = duties.activate(OrderAuthority("m", drawFence(), now + lease, lease), term)
 
         fun deactivate() = duties.deactivate()
 
@@ -149,7 +149,6 @@
 
     companion object {
         const val START = 1_767_225_600_000L
-        val LEASE = 3.seconds
         val TICK = 100.milliseconds
         val WORKSPACE = WorkspaceName("a")
         private const val OK = 200
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UsageDutyTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/UsageDutyTest.kt
@@ -54,12 +54,44 @@
         )
     }
 
+    /** Guards against counts that are lost with a leader because their entries have nothing new to report. */
+    @Test
+    fun `a change of leader loses no count of entries that have become quiet`() {
+        fixture.lead(first)
+        fixture.pass(13.seconds, perSecond = 10)
+        fixture.loseLeader()
+        fixture.pass(2.seconds)
+        fixture.lead(second)
+        fixture.pass(15.seconds)
+        expectThat(bodies()).containsExactly(
+            report(0, requests = 120),
+            report(1, requests = 150),
+            report(2, requests = 120),
+            report(3, requests = 0),
+        )
+    }
+
+    /** Guards against a new leader that sends while its predecessor may still send. */
+    @Test
+    fun `a new leader sends nothing for a lease`() {
+        val fixture = UsageDutyFixture(lease = 8.seconds)
+        fixture.lead(fixture.Core())
+        fixture.pass(15.seconds)
+        fixture.lead(fixture.Core())
+        val sent = fixture.calls.size
+        fixture.pass(7_900.milliseconds)
+        expectThat(fixture.calls).hasSize(sent)
+        fixture.pass(1.seconds)
+        expectThat(fixture.calls.size).isGreaterThan(sent)
+    }
+
     /** Guards against a window that a new leader closes before the entries have sent their counts again. */
     @Test
     fun `a new leader closes no window in its first three seconds`() {
-        fixture.lead(first)
+        val fixture = UsageDutyFixture(lease = 500.milliseconds)
+        fixture.lead(fixture.Core())
         fixture.pass(10.seconds, perSecond = 10)
-        fixture.lead(second)
+        fixture.lead(fixture.Core())
         fixture.pass(2_900.milliseconds, perSecond = 10)
         expectThat(fixture.machine.usage.newestClosed).isEqualTo(null)
         fixture.pass(200.milliseconds)
