--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -223,8 +223,8 @@
     private fun withdraw(job: JobIdentifier): CancelledJob {
         dispatchedServices.remove(job)
         val cancelled = dispatcher.cancelJob(job.value)
-        planner.retainTexts(cancelled.texts)
-        planner.retainResults(rewards.cancelJob(job.value))
+        planner.retainTexts(job, cancelled.texts)
+        planner.retainResults(job, rewards.cancelJob(job.value))
         execute(cancelled.aborts)
         return cancelled
     }
@@ -232,7 +232,7 @@
     private fun end(job: JobIdentifier) {
         val cancelled = withdraw(job)
         val unlisted = recorder.forget(job)
-        planner.retainResults(unlisted)
+        planner.retainResults(job, unlisted)
         logger.info { "event=job-ended job=$job unfinished=${cancelled.texts.size} unlisted=${unlisted.size}" }
     }
 
@@ -255,7 +255,7 @@
     }
 
     private fun finish(action: DispatchAction.Finish) {
-        planner.discardText(action.key.item)
+        planner.discardText(action.key)
         val text = action.text
         val output = if (action.isCompleted) text.output else ""
         val versions = if (action.isCompleted) text.versions else emptyList()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -3,6 +3,7 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
+import org.zinniahoist.model.WorkspaceName
 import org.zinniahoist.policy.dispatch.ItemKey
 import org.zinniahoist.policy.dispatch.ItemText
 import org.zinniahoist.policy.dispatch.ItemWork
@@ -13,6 +14,7 @@
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.ItemResult
+import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
 import org.zinniahoist.state.service.RecordedText
 import org.zinniahoist.state.service.ServiceStateMachine
@@ -48,8 +50,8 @@
     private val wallMilliseconds: () -> Long,
     private val random: Random,
 ) {
-    private val retainedTexts = LinkedHashMap<RequestIdentifier, ItemText>()
-    private val retainedResults = LinkedHashMap<RequestIdentifier, ItemResult>()
+    private val retainedTexts = LinkedHashMap<OwnedItem, ItemText>()
+    private val retainedResults = LinkedHashMap<OwnedItem, ItemResult>()
 
     /** Returns the plan for [items] of [record] on [route]. */
     fun plan(
@@ -99,31 +101,34 @@
         return CompleteItemText(key, text, isRecorded = false)
     }
 
-    /** Retains the partial [texts] of unfinished items for a later job that contains the same items. */
-    fun retainTexts(texts: Map<RequestIdentifier, ItemText>) {
-        retainedTexts += texts
+    /** Retains the partial [texts] of unfinished items of [job] for a later job of its workspace. */
+    fun retainTexts(job: JobIdentifier, texts: Map<RequestIdentifier, ItemText>) {
+        val workspace = workspaceOf(job)
+        retainedTexts += texts.mapKeys { (item, _) -> OwnedItem(workspace, item) }
         while (retainedTexts.size > MAXIMUM_RETAINED_ITEMS) retainedTexts.remove(retainedTexts.keys.first())
     }
 
-    /** Retains [results] not committed before their job ended, for a later job that contains the same items. */
-    fun retainResults(results: List<ItemResult>) {
-        results.filter { it.isCompleted }.forEach { retainedResults[it.item] = it }
+    /** Retains [results] not committed before [job] ended, for a later job of its workspace with the same items. */
+    fun retainResults(job: JobIdentifier, results: List<ItemResult>) {
+        val workspace = workspaceOf(job)
+        results.filter { it.isCompleted }.forEach { retainedResults[OwnedItem(workspace, it.item)] = it }
         while (retainedResults.size > MAXIMUM_RETAINED_ITEMS) retainedResults.remove(retainedResults.keys.first())
     }
 
-    /** Discards the retained text of [item]. */
-    fun discardText(item: RequestIdentifier) {
-        retainedTexts.remove(item)
+    /** Discards the retained text of the item with [key]. */
+    fun discardText(key: ItemKey) {
+        retainedTexts.remove(OwnedItem(workspaceOf(JobIdentifier(key.job)), key.item))
     }
 
+    private fun workspaceOf(job: JobIdentifier): WorkspaceName? = machine.job(job)?.job?.workspace
+
     /** Returns results that earlier jobs produced for [items], as trainers resubmit groups that were not complete. */
     private fun earlierResults(job: BatchJob, items: List<BatchItem>): Map<RequestIdentifier, EarlierResult> {
         val wanted = items.mapTo(HashSet()) { it.identifier }
-        val unlisted = retainedResults.filterKeys { it in wanted }.mapValues { (_, result) ->
-            EarlierResult(result.versions) { result }
-        }
-        val listed = machine.jobs
-            .filter { it.job.identifier != job.identifier }
+        val unlisted = retainedResults.filterKeys { it.workspace == job.workspace && it.item in wanted }
+            .map { (owned, result) -> owned.item to EarlierResult(result.versions) { result } }
+            .toMap()
+        val listed = otherJobs(job)
             .flatMap { it.results }
             .filter { it.isCompleted && it.item in wanted }
             .associate { it.item to EarlierResult(it.versions, it::whole) }
@@ -135,7 +140,11 @@
      * waits for that group, whether an earlier job has results for some of them or not.
      */
     private fun isInAnotherJob(job: BatchJob, item: RequestIdentifier): Boolean =
-        machine.jobs.any { it.job.identifier != job.identifier && it.item(item) != null }
+        otherJobs(job).any { it.item(item) != null }
+
+    /** Returns the other jobs of the workspace of [job]; texts and results must not pass from one to another. */
+    private fun otherJobs(job: BatchJob): List<JobRecord> =
+        machine.jobs.filter { it.job.identifier != job.identifier && it.job.workspace == job.workspace }
 
     private fun termsOf(job: BatchJob, route: Route): WeightConstraints? = job.step?.let {
         WeightConstraints(it.model, it.minimumVersion, route.batch?.singleVersion == true)
@@ -199,13 +208,19 @@
     /** Returns the longer of the retained and the recorded text of [item], considering only texts that fit [terms]. */
     private fun earlierText(record: JobRecord, item: RequestIdentifier, terms: WeightConstraints?): ItemText? {
         val recorded = record.text(item)?.takeIf { !it.isComplete && ItemText(versions = it.versions).fits(terms) }
-        val kept = retainedTexts[item]?.takeIf { it.fits(terms) }
+        val kept = retainedTexts[OwnedItem(record.job.workspace, item)]?.takeIf { it.fits(terms) }
         val isRecordedLonger = (recorded?.lastNumber ?: -1) > (kept?.lastNumber ?: -1)
         return if (recorded != null && isRecordedLonger) recorded.toItemText() else kept
     }
 
     private fun RecordedText.toItemText() = ItemText(events(), lastNumber, versions, identifier)
 
+    /** Item of a job that belongs to [workspace]. Different workspaces may use the same identifiers. */
+    private data class OwnedItem(
+        val workspace: WorkspaceName?,
+        val item: RequestIdentifier,
+    )
+
     private class Deadlines(
         val dueAt: Moment,
         val expiresAt: Moment,
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UsageDuty.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UsageDuty.kt
@@ -52,6 +52,7 @@
     /** Prepares to lead in [term]. */
     fun activate(term: Long) {
         aggregator.lead(term)
+        isProposing = false
         val now = clock()
         firstWindow = windows.windowAt(wallClock.at(now))
         closesFrom = now + COLLECTION_TIME
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UsageReceiver.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/UsageReceiver.kt
@@ -16,9 +16,15 @@
     val aggregator = UsageAggregator()
     val live = LiveLoadTracker()
 
+    private var term = 0L
+
     /** Returns the reply to [call]. [status] is the present one of the replica. */
+    @Synchronized
     fun receive(call: ServiceCall.ReportUsage, status: GroupStatus): ServiceReply {
         if (!status.isLeader) return ServiceReply.NotLeader(status.leader)
+        // Sums that entries reported to this replica in an earlier term are too old to be compared with.
+        if (status.term != term) live.clear()
+        term = status.term
         val closed = ledger.newestClosed
         aggregator.onReport(status.term, call.incarnation, call.windows, closed)
         live.onReport(call.incarnation, call.busyMilliseconds, clock())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/CallerAuthentication.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/CallerAuthentication.kt
@@ -46,7 +46,8 @@
 
     private fun bearerKey(credentials: String): String? {
         val scheme = credentials.trim().substringBefore(' ')
-        return if (scheme.equals(SCHEME, ignoreCase = true)) credentials.trim().substringAfter(' ', "").trim() else null
+        val key = credentials.trim().substringAfter(' ', "").trim()
+        return key.takeIf { it.isNotEmpty() && scheme.equals(SCHEME, ignoreCase = true) }
     }
 
     /** Returns [headers] for an upstream: without the key, and with the workspace of [caller] in place of any other. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Refusals.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Refusals.kt
@@ -8,6 +8,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.zinniahoist.gateway.dialect.HeaderNames
 import org.zinniahoist.gateway.metrics.GatewayMetrics
+import org.zinniahoist.model.RequestTarget
 import org.zinniahoist.policy.routes.RefusalCause
 import org.zinniahoist.policy.routes.RetryAfterPolicy
 import java.util.Locale
@@ -59,8 +60,8 @@
         val cause = if (caller is Caller.Unknown) "unknown" else "missing"
         metrics.onEvent("unauthorized", cause)
         logger.info {
-            "event=unauthorized request=${request.headers().get(names.requestIdentifier)} path=${request.path()} " +
-                "key=$cause"
+            "event=unauthorized request=${request.headers().get(names.requestIdentifier)} " +
+                "path=${RequestTarget.pathOf(request.path())} key=$cause"
         }
         return HttpResponse.of(ResponseHeaders.of(HttpStatus.UNAUTHORIZED, HttpHeaderNames.WWW_AUTHENTICATE, "Bearer"))
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -72,6 +72,7 @@
         class Started(
             val response: HttpResponse,
             val whenComplete: CompletableFuture<Void>,
+            val isServerError: Boolean,
         ) : Attempt
 
         data class NotRun(
@@ -169,7 +170,7 @@
     }
 
     private fun loadOutcome(attempt: Attempt): AttemptOutcome = when (attempt) {
-        is Attempt.Started -> AttemptOutcome.ANSWERED
+        is Attempt.Started -> if (attempt.isServerError) AttemptOutcome.OTHER else AttemptOutcome.ANSWERED
         is Attempt.NotRun -> attempt.load
         is Attempt.Lost -> AttemptOutcome.OTHER
     }
@@ -221,6 +222,7 @@
             else -> Attempt.Started(
                 HttpResponse.of(ForwardedFields.response(head), limitEvents(head, response, split.body())),
                 response.whenComplete(),
+                head.status().isServerError,
             )
         }
     }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobPlannerTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/JobPlannerTest.kt
@@ -6,6 +6,7 @@
 import org.zinniahoist.model.RequestIdentifier
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.model.WorkspaceName
+import org.zinniahoist.policy.dispatch.ItemText
 import org.zinniahoist.policy.dispatch.ItemWork
 import org.zinniahoist.state.StateCodec
 import org.zinniahoist.state.service.BatchItem
@@ -18,6 +19,8 @@
 import org.zinniahoist.state.service.TokenCounts
 import strikt.api.expectThat
 import strikt.assertions.containsExactly
+import strikt.assertions.containsExactlyInAnyOrder
+import strikt.assertions.isEmpty
 import kotlin.random.Random
 
 internal class JobPlannerTest {
@@ -29,10 +32,15 @@
         machine.apply(++index, 0, StateCodec.encode(command))
     }
 
-    private fun submit(job: String, minimumVersion: Long, vararg items: String) {
+    private fun submit(
+        job: String,
+        minimumVersion: Long,
+        vararg items: String,
+        workspace: WorkspaceName? = null,
+    ) {
         val terms = StepTerms(minimumVersion, ModelName("m"), WeightVersion(minimumVersion), wantedGroups = 1)
         val requests = items.map { EngineFixture.item(it) }
-        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", requests, terms)))
+        apply(ServiceCommand.SubmitJob(BatchJob(JobIdentifier(job), "h", "/s/", requests, terms, workspace)))
     }
 
     /** Guards against placement without the counts that the trainer stated. */
@@ -83,4 +91,27 @@
         submit("k", 2, "c", "a", "b")
         expectThat(work("k").filter { it.isCarriedOver }.map { it.key.item.value }).containsExactly("a", "b")
     }
+
+    /** Guards against samples that one workspace reads although another one's job produced them. */
+    @Test
+    fun `results and texts of a job are not reused for another workspace`() {
+        submit("north", 1, "a", "b", "c", workspace = WorkspaceName("north"))
+        val result = ItemResult(RequestIdentifier("a"), isCompleted = true, "secret")
+        apply(ServiceCommand.RecordResults(JobIdentifier("north"), listOf(result)))
+        val unlisted = ItemResult(RequestIdentifier("b"), isCompleted = true, "secret")
+        planner.retainResults(JobIdentifier("north"), listOf(unlisted))
+        val text = ItemText(listOf("secret"), lastNumber = 0)
+        planner.retainTexts(JobIdentifier("north"), mapOf(RequestIdentifier("c") to text))
+        submit("south", 1, "a", "b", "c", workspace = WorkspaceName("south"))
+        submit("again", 1, "a", "b", "c", workspace = WorkspaceName("north"))
+        val (south, again) = listOf("south", "again").map { job ->
+            val record = checkNotNull(machine.job(JobIdentifier(job)))
+            planner.plan(record, EngineFixture.route(), record.openItems(), Moment.ZERO)
+        }
+        expectThat(south.reused).isEmpty()
+        expectThat(south.work.map { it.text.events.size }).containsExactly(0, 0, 0)
+        expectThat(south.work.map { it.isCarriedOver }).containsExactly(false, false, false)
+        expectThat(again.reused.map { it.item.value }).containsExactlyInAnyOrder("a", "b")
+        expectThat(again.work.map { it.text.events.size }).containsExactly(1)
+    }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/WorkspaceKeyTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/WorkspaceKeyTest.kt
@@ -38,9 +38,10 @@
     /** Guards against callers without a key, or with a key of nobody, whose requests run. */
     @Test
     fun `a request without a known key is answered with 401 and does not run`() {
-        start(NORTH, SOUTH)
+        start(NORTH, SOUTH, Workspace(WorkspaceName("west"), keys = setOf("")))
         expectThat(send(null)).isEqualTo(HttpStatus.UNAUTHORIZED.code())
         expectThat(send("Bearer other")).isEqualTo(HttpStatus.UNAUTHORIZED.code())
+        expectThat(send("Bearer ")).isEqualTo(HttpStatus.UNAUTHORIZED.code())
         expectThat(send("Basic north-1")).isEqualTo(HttpStatus.UNAUTHORIZED.code())
         expectThat(fixture.receivedHeads).isEmpty()
     }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/duty/LiveLoadTracker.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/duty/LiveLoadTracker.kt
@@ -37,6 +37,13 @@
         return busy / WINDOW.toDouble(DurationUnit.MILLISECONDS)
     }
 
+    /** Forgets all reports. A new leader must not compare reports with those of an earlier term. */
+    @Synchronized
+    public fun clear() {
+        known.clear()
+        samples.clear()
+    }
+
     private fun forgetOld(now: Moment) {
         while (samples.isNotEmpty() && now - samples.first().at > WINDOW) samples.removeFirst()
     }
--- a/settings/src/main/kotlin/org/zinniahoist/settings/DutySettings.kt
+++ b/settings/src/main/kotlin/org/zinniahoist/settings/DutySettings.kt
@@ -13,7 +13,7 @@
     public val reportWindow: Duration = DEFAULT_REPORT_WINDOW,
     /** Time after the end of a window at which its report is due. */
     public val reportLateness: Duration = DEFAULT_REPORT_LATENESS,
-    /** Whether the platform requires fencing tokens. They are sent in any case. */
+    /** Whether the platform requires fencing tokens. Has no effect, because they are sent in any case. */
     public val isFenceRequired: Boolean = true,
 ) {
     /** Values by key of the settings file. */
