--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -326,7 +326,9 @@
         boolean serve(Request r, Socket socket, OutputStream out) throws Exception {
             String expected = r.headers.get("Zinniahoist-Expect-Instance");
             if (expected != null && !expected.equals(id)) {
-                answer(out, 421, own(r), new byte[0]);
+                Map<String, String> headers = own(r);
+                headers.put("Zinniahoist-Instance-Id", id);
+                answer(out, 421, headers, new byte[0]);
                 return true;
             }
             if (r.path.equals("/api/report")) {
@@ -351,11 +353,12 @@
 
         int events(String item) { return 9; }
         long gapMs() { return 20; }
+        long workMs() { return 30; }
 
         boolean run(Request r, Socket socket, OutputStream out) throws Exception {
             Map<String, String> h = own(r);
             h.put("Zinniahoist-Response-Stamp", "3e1b.07.5a2." + id);
-            if (model == null) { Thread.sleep(30); answer(out, 200, h, ("answer of " + id + " to " + r.headers.get("Zinniahoist-Request-Id")).getBytes()); return true; }
+            if (model == null) { Thread.sleep(workMs()); answer(out, 200, h, ("answer of " + id + " to " + r.headers.get("Zinniahoist-Request-Id")).getBytes()); return true; }
             StringBuilder head = new StringBuilder("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nZinniahoist-Weight-Versions: " + version + "\r\n");
             h.forEach((k, v) -> head.append(k).append(": ").append(v).append("\r\n"));
             out.write(head.append("\r\n").toString().getBytes());
