--- a/review/7/LateRejection.java
+++ b/review/7/LateRejection.java
@@ -80,7 +80,9 @@
                 clients.add(bed.threads.submit(() -> {
                     while (Bed.now() < end) {
                         String id = String.format("9c41d07b%08x", next.incrementAndGet());
-                        answers.put(id, Bed.call(address, bed.front, "POST", prefix + id, "ficu95.example", Map.of("Zinniahoist-Request-Id", id, "Zinniahoist-Deadline-Ms", "2000"), new byte[600], 3000));
+                        Bed.Answer answer = Bed.call(address, bed.front, "POST", prefix + id, "ficu95.example", Map.of("Zinniahoist-Request-Id", id, "Zinniahoist-Deadline-Ms", "2000"), new byte[600], 3000);
+                        answers.put(id, answer);
+                        bed.note("client: sends %s to %s -> %s", id, address, answer);
                         Thread.sleep(120);
                     }
                     return null;
--- a/review/9/ForgottenCrashes.java
+++ b/review/9/ForgottenCrashes.java
@@ -57,7 +57,7 @@
             bed.startSmall(450);
             Bed.Answer configured = bed.operator("POST", "/api/config/replace", configuration(), 30);
             if (configured.status != 200 || !bed.awaitReady(20)) bed.finish(2, "the system did not start: " + configured);
-            Thread.sleep(CONTACT > 0 ? 3000 : 0);
+            Thread.sleep(3000);
             for (int round = 0; round < 4; round++) {
                 if (round > 0) {
                     double from = Bed.now();
--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -483,6 +483,9 @@
 
     /** Ends the case: writes the verdict and exits. */
     void finish(int code, String verdict) {
+        synchronized (runs) {
+            for (Run r : runs) record.println(String.format(Locale.ROOT, "%8.3f run: %s at %s, path %s, after event %s", r.at(), r.id(), r.sampler(), r.path(), r.lastEvent()));
+        }
         note("verdict: %s", verdict);
         System.out.println(verdict);
         close();
