--- a/review/standin-2/Bed.java
+++ b/review/standin-2/Bed.java
@@ -458,6 +458,7 @@
             int port = control;
             for (int hop = 0; hop < 3; hop++) {
                 last = call(address, port, method, path, address, Map.of("Content-Type", "application/json"), body.getBytes(StandardCharsets.UTF_8), 1000);
+                note("operator: %s %s of %d bytes at %s -> %s", method, path, body.length(), address, last);
                 if (last.status != 307) break;
                 URI location = URI.create(last.headers.get("Location"));
                 address = location.getHost();
--- a/review/standin-2/Trainer.java
+++ b/review/standin-2/Trainer.java
@@ -58,6 +58,7 @@
     /** Reads one page from position [after]. Records results, and what contradicts an earlier page. */
     Bed.Answer read(Job job, int after, int waitMs) {
         Bed.Answer answer = Bed.call(entryAddress(), bed.front, "GET", "/api/lots/" + job.id + "?after=" + after, host, Map.of("Zinniahoist-Wait-Ms", "" + waitMs, "Zinniahoist-Request-Id", "r" + UUID.randomUUID().toString().replace("-", "")), new byte[0], 4000);
+        bed.note("trainer: reads job %s from position %d -> %s, %d bytes", job.id, after, answer, answer.body.length);
         if (answer.status != 200) return answer;
         String text = answer.text();
         if (Bed.number(text, "total") != job.items.size()) job.faults.add("total is " + Bed.number(text, "total") + " of " + job.items.size());
