End a connection after each response that lets its request be sent again

Cause: all attempts of a request carry its identifier. A 421 without the header of a refusal left its connection open, and the request was sent again on it, so a late copy of the 421 passed for the response to the next attempt. What counts as not run stood in five places that disagreed.

Change: RunStatement is the one rule, which the connection handler and all four kinds of attempts ask.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/RewardCalls.kt
@@ -16,9 +16,11 @@
 import org.zinniahoist.gateway.upstream.RequestBody
 import org.zinniahoist.gateway.upstream.RequestContent
 import org.zinniahoist.gateway.upstream.ResponseLimits
+import org.zinniahoist.gateway.upstream.RunStatement
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.onFailure
 import org.zinniahoist.gateway.upstream.readWhole
+import org.zinniahoist.gateway.upstream.runStatement
 import org.zinniahoist.policy.reward.RewardAction
 import org.zinniahoist.policy.reward.RewardCallEnd
 import org.zinniahoist.state.service.JobIdentifier
@@ -104,12 +106,13 @@
 
     private fun endOf(headers: ResponseHeaders): RewardCallEnd {
         val status = headers.status().code()
+        val statement = names.runStatement(headers)
         val stamp = headers.get(names.answerStamp)
         return when {
             isSuccess(headers) && stamp != null -> RewardCallEnd.Scored(stamp)
             isSuccess(headers) -> RewardCallEnd.Lost("stamp missing")
-            status == MISDIRECTED_REQUEST -> RewardCallEnd.Misdirected
-            headers.contains(names.notRun) || status in REFUSALS -> RewardCallEnd.Refused(retryAfter(headers))
+            statement == RunStatement.MISDIRECTED -> RewardCallEnd.Misdirected
+            statement == RunStatement.NOT_RUN || status in REFUSALS -> RewardCallEnd.Refused(retryAfter(headers))
             status == INTERNAL_SERVER_ERROR -> RewardCallEnd.Failed
             else -> RewardCallEnd.Lost("status $status")
         }
@@ -124,7 +127,6 @@
     }
 
     private companion object {
-        const val MISDIRECTED_REQUEST = 421
         const val INTERNAL_SERVER_ERROR = 500
 
         /** Statuses with which an upstream that is full or stopping refuses a call. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/Forwarder.kt
@@ -15,10 +15,12 @@
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.ResponseLimits
+import org.zinniahoist.gateway.upstream.RunStatement
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.WholeAnswer
 import org.zinniahoist.gateway.upstream.onFailure
 import org.zinniahoist.gateway.upstream.readWhole
+import org.zinniahoist.gateway.upstream.runStatement
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
@@ -227,12 +229,16 @@
             is Outcome.Failed, is Outcome.Lost -> AttemptOutcome.OTHER
         }
 
-        private fun classify(answer: WholeAnswer): Outcome = when {
-            answer.headers.contains(names.notRun) && answer.status != BAD_REQUEST -> Outcome.NotRun
-            answer.status == MISDIRECTED_REQUEST -> Outcome.NotRun
-            answer.status >= SERVER_ERROR -> Outcome.Failed(answer)
-            answer.status < REDIRECTION && !answer.headers.contains(names.answerStamp) -> Outcome.Lost("stamp missing")
-            else -> Outcome.Success(answer)
+        private fun classify(answer: WholeAnswer): Outcome = when (names.runStatement(answer.headers)) {
+            RunStatement.NOT_RUN -> if (answer.status == BAD_REQUEST) Outcome.Success(answer) else Outcome.NotRun
+            RunStatement.MISDIRECTED -> Outcome.NotRun
+            RunStatement.FAILED -> Outcome.Failed(answer)
+            RunStatement.REJECTED, RunStatement.SETTLED -> settle(answer)
+        }
+
+        private fun settle(answer: WholeAnswer): Outcome {
+            val isStampMissing = answer.status < REDIRECTION && !answer.headers.contains(names.answerStamp)
+            return if (isStampMissing) Outcome.Lost("stamp missing") else Outcome.Success(answer)
         }
 
         private fun headersFor(upstream: ListedUpstream): RequestHeaders {
@@ -256,8 +262,6 @@
         /** Reason for refusing a request that may not finish before a process in shutdown stops serving. */
         const val SHUTTING_DOWN = "the process may stop before the request finishes"
         private const val BAD_REQUEST = 400
-        private const val MISDIRECTED_REQUEST = 421
-        private const val SERVER_ERROR = 500
         private const val REDIRECTION = 300
 
         /** Returns the remaining time that a client states in [remainingMilliseconds], at most [limit]. */
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/entry/StreamForwarder.kt
@@ -20,10 +20,12 @@
 import org.zinniahoist.gateway.upstream.ForwardedFields
 import org.zinniahoist.gateway.upstream.PermissiveCrashGuard
 import org.zinniahoist.gateway.upstream.ResponseLimits
+import org.zinniahoist.gateway.upstream.RunStatement
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.gateway.upstream.abortWith
 import org.zinniahoist.gateway.upstream.awaitHeaders
 import org.zinniahoist.gateway.upstream.onFailure
+import org.zinniahoist.gateway.upstream.runStatement
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.ServiceName
@@ -210,20 +212,24 @@
         split: SplitHttpResponse,
     ): Attempt {
         val echoed = head.get(names.requestIdentifier)
-        return when {
-            echoed != request.identifier -> Attempt.Lost("response echoes request $echoed")
-            head.contains(names.notRun) -> {
-                val status = head.status().code()
-                Attempt.NotRun("refused with $status", AdmissionGate.outcomeOfRefusal(status))
-            }
+        if (echoed != request.identifier) return Attempt.Lost("response echoes request $echoed")
+        val status = head.status()
+        return when (names.runStatement(head)) {
+            RunStatement.NOT_RUN ->
+                Attempt.NotRun("refused with ${status.code()}", AdmissionGate.outcomeOfRefusal(status.code()))
+
+            RunStatement.MISDIRECTED -> Attempt.NotRun("address belongs to another upstream")
 
-            head.status().code() == MISDIRECTED_REQUEST -> Attempt.NotRun("address belongs to another upstream")
-            head.status().isSuccess && !head.contains(names.answerStamp) -> Attempt.Lost("stamp missing")
-            else -> Attempt.Started(
-                HttpResponse.of(ForwardedFields.response(head), limitEvents(head, response, split.body())),
-                response.whenComplete(),
-                head.status().isServerError,
-            )
+            RunStatement.REJECTED, RunStatement.FAILED, RunStatement.SETTLED ->
+                if (status.isSuccess && !head.contains(names.answerStamp)) {
+                    Attempt.Lost("stamp missing")
+                } else {
+                    Attempt.Started(
+                        HttpResponse.of(ForwardedFields.response(head), limitEvents(head, response, split.body())),
+                        response.whenComplete(),
+                        status.isServerError,
+                    )
+                }
         }
     }
 
@@ -263,6 +269,5 @@
 
     private companion object {
         val logger = KotlinLogging.logger {}
-        const val MISDIRECTED_REQUEST = 421
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/ItemRun.kt
@@ -72,9 +72,10 @@
     private fun begin(headers: ResponseHeaders) {
         val status = headers.status().code()
         val echoed = headers.get(names.requestIdentifier)
+        val statement = names.runStatement(headers)
         when {
-            status == MISDIRECTED_REQUEST -> refuse(RunEnd.Misdirected, echoed)
-            headers.contains(names.notRun) -> refuse(RunEnd.NotRun, echoed)
+            statement == RunStatement.MISDIRECTED -> refuse(RunEnd.Misdirected, echoed)
+            statement == RunStatement.NOT_RUN -> refuse(RunEnd.NotRun, echoed)
             status == OK && echoed != identifier -> abortRun(RunEnd.Broken("response to another request"))
             status == OK -> observer.onBegin(
                 headers.get(names.weightVersion)?.trim()?.toLongOrNull()?.let(::WeightVersion),
@@ -134,7 +135,6 @@
         /** Number of chunks, each a few kilobytes long, that may wait for the observer. */
         const val PREFETCHED_CHUNKS = 8L
         const val OK = 200
-        const val MISDIRECTED_REQUEST = 421
         const val UNPROCESSABLE_CONTENT = 422
         const val INTERNAL_SERVER_ERROR = 500
     }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RefusalConnectionHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/RefusalConnectionHandler.kt
@@ -8,11 +8,11 @@
 import io.netty.handler.codec.http.HttpResponse
 
 /**
- * Ends a connection with the first response that says that its request was not run, or that its run failed.
+ * Ends a connection with the first response after which its request may be sent again.
  *
  * Such a request is sent again under the same identifier. A late copy of the response on the same connection would be
  * taken for the response to the second request: its caller would be told that it was not run while the upstream runs
- * it, or one failed run would be counted as two.
+ * it, a request that may run once would be sent to another upstream, or one failed run would be counted as two.
  *
  * @param notRunHeader name of the header that marks a refusal.
  */
@@ -29,17 +29,13 @@
 
     private inner class RefusalFilter : ChannelInboundHandlerAdapter() {
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            if (message is HttpResponse && isSentAgain(message)) {
+            if (message is HttpResponse && statementOf(message).allowsRepetition) {
                 message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
             }
             context.fireChannelRead(message)
         }
 
-        private fun isSentAgain(response: HttpResponse): Boolean =
-            response.headers().contains(notRunHeader) || response.status().code() >= SERVER_ERROR
-    }
-
-    private companion object {
-        const val SERVER_ERROR = 500
+        private fun statementOf(response: HttpResponse): RunStatement =
+            RunStatement.of(response.status().code(), response.headers().contains(notRunHeader))
     }
 }
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/RewardCallsTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/RewardCallsTest.kt
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
 import org.zinniahoist.gateway.entry.UpstreamFixture
 import org.zinniahoist.gateway.metrics.GatewayMetrics
 import org.zinniahoist.gateway.upstream.ConnectionProbe
@@ -20,6 +21,7 @@
 import org.zinniahoist.gateway.upstream.RawAnswer
 import org.zinniahoist.gateway.upstream.RawUpstream
 import org.zinniahoist.gateway.upstream.UpstreamCalls
+import org.zinniahoist.gateway.upstream.repeatingUpstream
 import org.zinniahoist.model.ListedUpstream
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.RequestIdentifier
@@ -36,6 +38,7 @@
 import strikt.api.expectThat
 import strikt.assertions.isA
 import strikt.assertions.isEqualTo
+import strikt.assertions.isNotEqualTo
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -99,6 +102,17 @@
         }
     }
 
+    /** Guards against a late copy of a refusal that has a call made again while the upstream runs it. */
+    @ParameterizedTest
+    @ValueSource(strings = ["421 Misdirected", "429 Full", "503 Full\r\nx-not-run: 1"])
+    fun `a late copy of a refusal does not end the next call of the item`(refusal: String) {
+        val fields = "x-request: r-a\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n"
+        repeatingUpstream("HTTP/1.1 $refusal\r\n$fields", "HTTP/1.1 200 OK\r\n$fields").use {
+            expectThat(call(it, 1, "a")).isNotEqualTo(RewardCallEnd.Scored("s"))
+            expectThat(call(it, 2, "a")).isEqualTo(RewardCallEnd.Scored("s"))
+        }
+    }
+
     /** Guards against a reward call that crashes one upstream after the other until its item expires. */
     @Test
     fun `a call at which three upstreams crashed is not sent to another`() {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/entry/StreamForwarderTest.kt
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.ValueSource
+import org.zinniahoist.gateway.upstream.repeatingUpstream
 import org.zinniahoist.policy.routes.RouteKind
 import strikt.api.expectThat
 import strikt.assertions.isA
@@ -62,6 +63,17 @@
         expectThat(begun.response.aggregate().await().contentUtf8()).isEqualTo("data: b\n\n")
     }
 
+    /** Guards against a late copy of a refusal that sends a running stream to another upstream, or refuses it. */
+    @ParameterizedTest
+    @ValueSource(strings = ["503 Full\r\nx-not-run: 1", "421 Misdirected"])
+    fun `a copy of a refusal does not answer the next attempt`(refusal: String): Unit = runBlocking {
+        val fields = "x-request: r1\r\nx-stamp: s\r\ncontent-length: 0\r\n\r\n"
+        val upstream =
+            fixture.add(repeatingUpstream("HTTP/1.1 $refusal\r\n$fields", "HTTP/1.1 200 OK\r\n$fields"))
+        expectThat(forward()).isA<ForwardedStream.Started>()
+        expectThat(upstream.requests).isEqualTo(2)
+    }
+
     /** Guards against cutting a stream that is sound but pauses for longer than its latency target. */
     @Test
     fun `a stream that pauses between its events is forwarded whole`(): Unit = runBlocking {
