Record failed runs of items in the replicated state

Cause: the count of failed runs lived in the memory of one leader. A job that is withdrawn and dispatched anew, and each new leader, began it at zero; reward calls likewise.

Change: a failed run or reward call is recorded in the state of its job, and the item waits until the record is committed. Each dispatch begins with the recorded number. Items that come again in later jobs have a limit in all.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CompleteTextRecorder.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CompleteTextRecorder.kt
@@ -8,79 +8,41 @@
 import org.zinniahoist.state.service.RecordedText
 import org.zinniahoist.state.service.ServiceStateMachine
 import org.zinniahoist.state.service.TextPart
-import kotlin.time.Duration.Companion.milliseconds
-import kotlin.time.Duration.Companion.seconds
 
 /**
  * Records the complete texts of items that need a score in the log, so that the next leader repeats only the reward
  * call. All functions run on the engine thread.
  *
- * Each job has at most one command in flight; the texts that complete in the meantime share the next one.
- *
  * @param onRecorded called once the whole text of an item is in the replicated state.
  */
 internal class CompleteTextRecorder(
     private val machine: ServiceStateMachine,
     private val log: TextLog,
     private val metrics: GatewayMetrics,
-    private val clock: () -> Moment,
-    private val onRecorded: (ItemKey) -> Unit,
+    clock: () -> Moment,
+    onRecorded: (ItemKey) -> Unit,
 ) {
-    private val texts = LinkedHashMap<ItemKey, ItemText>()
-
-    /** Time at which the next command of a job may be proposed. */
-    private val nextProposals = HashMap<String, Moment>()
+    private val recorder = JobCommandRecorder(clock, ::propose, ::isRecorded, onRecorded)
 
     /** Records [text], the complete text of the item with [key]. */
-    fun record(key: ItemKey, text: ItemText) {
-        texts[key] = text
-        if (key.job !in nextProposals) propose(key.job)
-    }
+    fun record(key: ItemKey, text: ItemText): Unit = recorder.record(key, text)
 
     /** Proposes the commands again that failed or have no reply. */
-    fun tick() {
-        val now = clock()
-        nextProposals.filterValues { now >= it }.keys.forEach(::propose)
-    }
+    fun tick(): Unit = recorder.tick()
 
     /** Discards the texts of [job], which has ended. */
-    fun forget(job: String) {
-        texts.keys.removeIf { it.job == job }
-        nextProposals.remove(job)
-    }
+    fun forget(job: String): Unit = recorder.forget(job)
 
     /** Discards all texts, because another leader generates them now. */
-    fun clear() {
-        texts.clear()
-        nextProposals.clear()
-    }
+    fun clear(): Unit = recorder.clear()
 
-    private fun propose(job: String) {
-        val unrecorded = texts.entries.filter { it.key.job == job }.take(MAXIMUM_TEXTS)
-        val parts = unrecorded.map { (key, text) -> part(key, text) }
-        if (parts.isEmpty()) {
-            nextProposals.remove(job)
-            return
-        }
-        val expiry = clock() + REPLY_TIMEOUT
-        nextProposals[job] = expiry
-        log.propose(JobIdentifier(job), parts) { reply ->
+    private fun propose(job: JobIdentifier, texts: Map<ItemKey, ItemText>, onReply: () -> Unit) {
+        log.propose(job, texts.map { (key, text) -> part(key, text) }) { reply ->
             metrics.onEvent("complete_text", reply::class.simpleName.orEmpty())
-            onReply(job, expiry)
+            onReply()
         }
     }
 
-    /** Confirms the texts that are in the replicated state, whatever the reply: a lost command may be applied. */
-    private fun onReply(job: String, expiry: Moment) {
-        val recorded = texts.filter { (key, text) -> key.job == job && isRecorded(key, text) }.keys.toList()
-        recorded.forEach(texts::remove)
-        // A later command of the job is in flight if this reply arrived after its timeout.
-        if (nextProposals[job] == expiry) {
-            if (recorded.isEmpty()) nextProposals[job] = clock() + RETRY_DELAY else propose(job)
-        }
-        recorded.forEach(onRecorded)
-    }
-
     private fun isRecorded(key: ItemKey, text: ItemText): Boolean {
         val recorded = recordedText(key) ?: return false
         return recorded.isComplete && recorded.identifier == text.identifier
@@ -100,15 +62,4 @@
         val events = text.events.takeLast(unrecorded)
         return TextPart(key.item, identifier, recorded.lastNumber, last, events, text.versions, isLast = true)
     }
-
-    private companion object {
-        /** A command that failed is proposed again after this time. */
-        val RETRY_DELAY = 100.milliseconds
-
-        /** A command without a reply is proposed again after this time. */
-        val REPLY_TIMEOUT = 5.seconds
-
-        /** Number of texts at which a command is full. */
-        const val MAXIMUM_TEXTS = 100
-    }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRewards.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/ItemRewards.kt
@@ -21,6 +21,7 @@
  * A text is recorded in the log before its reward call starts, and a score is joined only with the text for which its
  * call was made.
  *
+ * @param onFailure receives the number of failed calls of an item after each of them.
  * @param onResult receives the result of an item with its score, or an error if it got none.
  */
 internal class ItemRewards(
@@ -32,6 +33,7 @@
     private val clock: () -> Moment,
     private val metrics: GatewayMetrics,
     random: Random,
+    private val onFailure: (ItemKey, Int) -> Unit,
     private val onResult: (ItemKey, ItemResult) -> Unit,
 ) {
     private val scheduler = RewardScheduler(registry, random = random)
@@ -77,6 +79,9 @@
         if (isRecorded) onRecorded(key) else recorder.record(key, text)
     }
 
+    /** Continues the item with [key], whose failed call is recorded. */
+    fun onFailureRecorded(key: ItemKey): Unit = execute(scheduler.onFailureRecorded(key, clock()))
+
     /** Removes the item with [key], which has finished without a text. */
     fun discard(key: ItemKey): Unit = scheduler.discard(key)
 
@@ -119,6 +124,7 @@
             when (action) {
                 is RewardAction.Call -> call(action)
                 is RewardAction.Abort -> abort(action)
+                is RewardAction.RecordFailure -> onFailure(action.key, action.failures)
                 is RewardAction.Finish -> finish(action)
             }
         }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobPlanner.kt
@@ -13,6 +13,7 @@
 import org.zinniahoist.policy.routes.drawService
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
+import org.zinniahoist.state.service.ItemFailures
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
@@ -33,7 +34,9 @@
     val texts: List<CompleteItemText> = emptyList(),
 ) {
     /** Number of items that resume from partial text. */
-    val resumed: Int get() = work.count { it.text.events.isNotEmpty() }
+    private val resumed: Int get() = work.count { it.text.events.isNotEmpty() }
+
+    override fun toString(): String = "reused=${reused.size} resumed=$resumed unscored=${texts.size}"
 }
 
 /** Complete text of an item that needs a score; [isRecorded] if the job's replicated state holds it. */
@@ -165,6 +168,7 @@
             dueAt = deadlines.dueAt,
             expiresAt = deadlines.expiresAt,
             maximumFailures = route.maximumAttempts,
+            failures = earlierFailures(record, route, item) { it.runs },
             group = item.group,
             isCarriedOver = isInAnotherJob(record.job, item.identifier),
             expectedTokens = item.estimatedTokens,
@@ -191,9 +195,25 @@
             dueAt = deadlines.dueAt,
             expiresAt = deadlines.expiresAt,
             maximumFailures = route.maximumAttempts,
+            failures = earlierFailures(record, route, item) { it.rewardCalls },
         )
     }
 
+    /**
+     * Returns the number of failures that count for [item]: those in its job, and those in other jobs of the workspace
+     * above the number that [MAXIMUM_SUBMISSIONS] submissions of it may have in all.
+     */
+    private fun earlierFailures(
+        record: JobRecord,
+        route: Route,
+        item: BatchItem,
+        count: (ItemFailures) -> Int,
+    ): Int {
+        val own = count(record.failures(item.identifier))
+        val others = otherJobs(record.job).sumOf { count(it.failures(item.identifier)) }
+        return own + maxOf(0, others - (MAXIMUM_SUBMISSIONS - 1) * route.maximumAttempts)
+    }
+
     private fun deadlines(record: JobRecord, route: Route, now: Moment): Deadlines {
         val batch = checkNotNull(route.batch) { "route ${route.name} of a batch job has no batch terms" }
         val age = ages.minimumAge(record.job.identifier, now)
@@ -235,5 +255,8 @@
     private companion object {
         /** Maximum number of retained texts, and of results; covers the unfinished samples of several steps. */
         const val MAXIMUM_RETAINED_ITEMS = 2_000
+
+        /** Number of submissions of an item that may each have the failed runs that its route allows. */
+        const val MAXIMUM_SUBMISSIONS = 3
     }
 }
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -64,6 +64,7 @@
         machine,
         { job, result, onReply -> propose(ServiceCommand.RecordResults(job, listOf(result)), onReply) },
         { job, parts, onReply -> propose(ServiceCommand.RecordTexts(job, parts), onReply) },
+        { job, failures, onReply -> propose(ServiceCommand.RecordFailures(job, failures), onReply) },
         thread::post,
         clock,
         System::currentTimeMillis,
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/EngineFixture.kt
@@ -33,6 +33,7 @@
 import org.zinniahoist.state.service.BatchItem
 import org.zinniahoist.state.service.BatchJob
 import org.zinniahoist.state.service.HeaderField
+import org.zinniahoist.state.service.ItemFailures
 import org.zinniahoist.state.service.ItemResult
 import org.zinniahoist.state.service.JobIdentifier
 import org.zinniahoist.state.service.JobRecord
@@ -76,6 +77,19 @@
     @Volatile
     var log: ResultLog = ResultLog { job, result, onReply -> record(job, result, onReply) }
 
+    /** Handles proposals of failed runs; commits them by default. */
+    @Volatile
+    var failureLog: FailureLog = FailureLog { job, failures, onReply ->
+        thread.post {
+            applyHere(ServiceCommand.RecordFailures(job, failures))
+            onReply(ServiceReply.Done)
+        }
+    }
+
+    /** Whether runs of items end with an error of the upstream. */
+    @Volatile
+    var runsFail: Boolean = false
+
     /** Whether the engine is notified of job changes. */
     @Volatile
     var isNotified: Boolean = true
@@ -124,6 +138,7 @@
                 onReply(ServiceReply.Done)
             }
         },
+        { job, failures, onReply -> failureLog.propose(job, failures, onReply) },
         thread::post,
         { Moment(System.nanoTime()) + advance },
         { System.currentTimeMillis() + wallJump.inWholeMilliseconds },
@@ -153,6 +168,7 @@
         val before = request.get(UpstreamFixture.Names.lastEvent)?.toLong() ?: 0
         requestedItems += item
         resumedAfter += before
+        if (runsFail) return failure(item)
         val builder = ResponseHeaders.builder(HttpStatus.OK).set(UpstreamFixture.Names.requestIdentifier, item)
         if (saysLeaving) builder.set(UpstreamFixture.Names.upstreamLeaving, "1")
         val head = builder.build()
@@ -165,6 +181,10 @@
         return endless
     }
 
+    private fun failure(item: String): HttpResponse = HttpResponse.of(
+        ResponseHeaders.of(HttpStatus.INTERNAL_SERVER_ERROR, UpstreamFixture.Names.requestIdentifier, item),
+    )
+
     private fun onLeaving(upstream: UpstreamIdentity): Unit = thread.post { engine.registry.onLeaving(upstream) }
 
     private fun score(request: RequestHeaders, identifier: String): HttpResponse {
@@ -199,6 +219,10 @@
     fun recordedEvents(job: String, item: String): Int =
         machine.job(JobIdentifier(job))?.text(RequestIdentifier(item))?.events()?.size ?: 0
 
+    /** Returns the recorded failures of [item]. */
+    fun recordedFailures(job: String, item: String): ItemFailures =
+        checkNotNull(machine.job(JobIdentifier(job))).failures(RequestIdentifier(item))
+
     /** Commits [result] and confirms it to [onReply]. */
     fun record(job: JobIdentifier, result: ItemResult, onReply: (ServiceReply) -> Unit) {
         thread.post {
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/LateEngineTest.kt
@@ -54,6 +54,7 @@
         machine,
         { job, result, onReply -> propose(ServiceCommand.RecordResults(job, listOf(result)), onReply) },
         { job, parts, onReply -> propose(ServiceCommand.RecordTexts(job, parts), onReply) },
+        { job, failures, onReply -> propose(ServiceCommand.RecordFailures(job, failures), onReply) },
         { _, task -> post(task) },
         { time.now },
         { time.now.nanoseconds / 1_000_000 },
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/DispatchModel.kt
@@ -51,6 +51,8 @@
     public val workspace: WorkspaceName? = null,
     /** Number of complete groups among the open ones that the trainer waits for, or null if it waits for all. */
     public val wantedGroups: Int? = null,
+    /** Number of [RunEnd.Failed] runs that the item had before. */
+    public val failures: Int = 0,
     /** True if an earlier run or job already produced a result or a text for the group of the item. */
     public val isGroupBegun: Boolean = false,
 ) {
@@ -134,6 +136,12 @@
         public val reason: String,
     ) : DispatchAction
 
+    /** Records that the item has had [failures] failed runs; [ItemDispatcher.onFailureRecorded] continues it. */
+    public data class RecordFailure(
+        public val key: ItemKey,
+        public val failures: Int,
+    ) : DispatchAction
+
     /** Delivers the final result of the item. */
     public data class Finish(
         public val key: ItemKey,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -20,6 +20,7 @@
 ) {
     private val table = ItemTable(registry, itemOrder(options.itemOrder))
     private val placement = ItemPlacement(registry, options)
+    private val retries = ItemRetries(table, registry, options)
 
     /** Number of items that wait for a free slot. */
     public val waitingItems: Int get() = table.waitingItems.size
@@ -173,13 +174,26 @@
             is RunEnd.Completed -> complete(state, current, now)
             is RunEnd.Impossible -> finish(state, isCompleted = false, "impossible")
             is RunEnd.Failed -> fail(state, current, now)
-            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retryRefused(state, current, now) }
-            is RunEnd.Misdirected -> emptyList<DispatchAction>().also { retryMisdirected(state, current, now) }
-            is RunEnd.NotSent -> emptyList<DispatchAction>().also { table.requeue(state, now + options.refusalBackoff) }
-            is RunEnd.Broken -> emptyList<DispatchAction>().also { onBroken(state, current, end, now) }
+            is RunEnd.NotRun -> emptyList<DispatchAction>().also { retries.onRefused(state, current, now) }
+            is RunEnd.Misdirected -> emptyList<DispatchAction>().also { retries.onMisdirected(state, current, now) }
+            is RunEnd.NotSent -> emptyList<DispatchAction>().also { retries.later(state, now) }
+            is RunEnd.Broken -> emptyList<DispatchAction>().also { retries.onBroken(state, current, end, now) }
         }
     }
 
+    /**
+     * Queues the item with [key] again once its latest failed run is recorded, or finishes it if it has had
+     * [maximumFailures] of them.
+     */
+    public fun onFailureRecorded(key: ItemKey, maximumFailures: Int, now: Moment): List<DispatchAction> {
+        val state = table.item(key) ?: return emptyList()
+        val failedAt = state.failedAt ?: return emptyList()
+        state.failedAt = null
+        if (state.failures >= maximumFailures) return finish(state, isCompleted = false, FAILED_TOO_OFTEN)
+        retries.later(state, failedAt)
+        return place(now)
+    }
+
     /**
      * Expires items past their deadline, aborts stalled and slow runs, and starts waiting items.
      *
@@ -189,6 +203,8 @@
     public fun tick(now: Moment, readUntil: Moment = now): List<DispatchAction> {
         val actions = ArrayList<DispatchAction>()
         for (state in table.all.filter { now >= it.work.expiresAt }) actions += expire(state)
+        val exhausted = table.waitingItems.filter { it.failures >= it.work.maximumFailures }
+        for (state in exhausted) actions += finish(state, isCompleted = false, FAILED_TOO_OFTEN)
         val view = placement.view(now)
         for (state in table.runningItems.toList()) {
             if (placement.shouldMove(state, waitingItems > 0, view, readUntil)) {
@@ -218,70 +234,25 @@
         val current = state.run ?: return emptyList()
         table.release(current)
         state.moves++
-        if (isUpstreamFault) retryBroken(state, current, now) else table.requeue(state, now + options.refusalBackoff)
+        if (isUpstreamFault) retries.onBroken(state, current, now) else retries.later(state, now)
         return listOf(DispatchAction.Abort(current.number, reason))
     }
 
-    private fun retryRefused(state: ItemState, run: RunState, now: Moment) {
-        registry.onRefusal(run.upstream, now, options.refusalBackoff)
-        retryElsewhere(state, run, now)
-    }
-
-    private fun retryMisdirected(state: ItemState, run: RunState, now: Moment) {
-        registry.onAbsence(run.upstream, run.startedAt, now)
-        state.avoided.add(run.upstream, now)
-        table.requeue(state, notBefore = null)
-    }
-
-    private fun onBroken(
-        state: ItemState,
-        run: RunState,
-        end: RunEnd.Broken,
-        now: Moment,
-    ) {
-        if (!end.isTextSound) {
-            state.text = ItemText()
-            registry.onFailure(run.upstream, now)
-        }
-        retryBroken(state, run, now)
-    }
-
-    private fun retryBroken(state: ItemState, run: RunState, now: Moment) {
-        if (run.events == 0) {
-            state.consecutiveEmptyRuns++
-            registry.onFailure(run.upstream, now)
-        }
-        state.avoided.add(run.upstream, now)
-        table.requeue(state, suspicionBackoff(state.consecutiveEmptyRuns)?.let { now + it })
-    }
-
-    /** Returns the back-off after [consecutiveEmptyRuns] runs without an event, or null below the threshold. */
-    private fun suspicionBackoff(consecutiveEmptyRuns: Int): Duration? {
-        val doublings = consecutiveEmptyRuns - options.suspicionThreshold
-        if (doublings < 0) return null
-        val pause = options.suspicionBackoff * (1 shl doublings.coerceAtMost(MAXIMUM_DOUBLINGS))
-        return minOf(pause, options.maximumSuspicionBackoff)
-    }
-
-    private fun retryElsewhere(state: ItemState, run: RunState, now: Moment) {
-        state.avoided.add(run.upstream, now)
-        table.requeue(state, now + options.refusalBackoff)
-    }
-
     private fun complete(state: ItemState, run: RunState, now: Moment): List<DispatchAction> {
         if (state.text.events.isEmpty()) {
-            retryBroken(state, run, now)
+            retries.onBroken(state, run, now)
             return emptyList()
         }
         return finish(state, isCompleted = true, "completed")
     }
 
+    /** Holds the item back until its failure is recorded: a run that no later leader knows of could come too often. */
     private fun fail(state: ItemState, run: RunState, now: Moment): List<DispatchAction> {
         state.failures++
+        state.failedAt = now
         state.text = ItemText()
-        if (state.failures >= state.work.maximumFailures) return finish(state, isCompleted = false, "failed too often")
-        retryElsewhere(state, run, now)
-        return emptyList()
+        state.avoided.add(run.upstream, now)
+        return listOf(DispatchAction.RecordFailure(state.work.key, state.failures))
     }
 
     private fun expire(state: ItemState): List<DispatchAction> {
@@ -295,6 +266,6 @@
     }
 
     private companion object {
-        const val MAXIMUM_DOUBLINGS = 5
+        const val FAILED_TOO_OFTEN = "failed too often"
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemTable.kt
@@ -39,7 +39,10 @@
     /** Time of the first tick that found the item waiting since its submission or its last event. */
     var waitingSince: Moment? = null
     var lastStartedAt: Moment? = null
-    var failures = 0
+    var failures = work.failures
+
+    /** Time of the latest failed run while it is being recorded, until which the item neither waits nor runs. */
+    var failedAt: Moment? = null
     var consecutiveEmptyRuns = 0
     var runs = 0
     var moves = 0
--- a/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardModel.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardModel.kt
@@ -19,6 +19,8 @@
     public val expiresAt: Moment,
     /** Number of [RewardCallEnd.Failed] calls after which the item finishes without a score. */
     public val maximumFailures: Int,
+    /** Number of [RewardCallEnd.Failed] calls that the item had before. */
+    public val failures: Int = 0,
 )
 
 /** Outcome of a reward call. */
@@ -63,6 +65,12 @@
         public val reason: String,
     ) : RewardAction
 
+    /** Records that the item has had [failures] failed calls; [RewardScheduler.onFailureRecorded] continues it. */
+    public data class RecordFailure(
+        public val key: ItemKey,
+        public val failures: Int,
+    ) : RewardAction
+
     /** Finishes the item with [score], or with an error if that is null. */
     public data class Finish(
         public val key: ItemKey,
--- a/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardScheduler.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardScheduler.kt
@@ -74,10 +74,21 @@
         return listOfNotNull(finishOrRequeue(state, end, now)) + place(now)
     }
 
+    /** Queues the item with [key] again once its latest failed call is recorded, or finishes it after too many. */
+    public fun onFailureRecorded(key: ItemKey, now: Moment): List<RewardAction> {
+        val state = table.item(key) ?: return emptyList()
+        val failedAt = state.failedAt ?: return emptyList()
+        state.failedAt = null
+        if (isExhausted(state)) return listOf(finish(state, null, FAILED_TOO_OFTEN))
+        table.enqueue(state, failedAt + options.refusalBackoff)
+        return place(now)
+    }
+
     /** Expires items past their deadline and starts waiting calls. */
     public fun tick(now: Moment): List<RewardAction> {
         val expired = table.withText.filter { now >= it.work.expiresAt }.flatMap { expire(it, now) }
-        return expired + place(now)
+        val exhausted = table.waiting.filter(::isExhausted).map { finish(it, null, FAILED_TOO_OFTEN) }
+        return expired + exhausted + place(now)
     }
 
     /** Starts waiting calls as far as the limits allow. */
@@ -92,7 +103,7 @@
     }
 
     private fun isStartable(state: RewardState, exhausted: Set<ServiceName>, now: Moment): Boolean {
-        if (state.notBefore?.let { now < it } == true) return false
+        if (state.notBefore?.let { now < it } == true || isExhausted(state)) return false
         val service = serviceOf(state) ?: return false
         return service !in exhausted
     }
@@ -176,15 +187,15 @@
         }
     }
 
-    private fun finishOrRequeue(state: RewardState, end: RewardCallEnd, now: Moment): RewardAction.Finish? {
+    private fun finishOrRequeue(state: RewardState, end: RewardCallEnd, now: Moment): RewardAction? {
         when (end) {
             is RewardCallEnd.Scored -> return finish(state, end.score, "scored")
 
             is RewardCallEnd.Failed -> {
                 state.failures++
                 state.consecutiveLosses = 0
-                if (state.failures >= maximumFailures(state)) return finish(state, null, "reward call failed too often")
-                table.enqueue(state, now + options.refusalBackoff)
+                state.failedAt = now
+                return RewardAction.RecordFailure(state.work.key, state.failures)
             }
 
             is RewardCallEnd.Refused -> table.enqueue(state, now + refusalBackoff(end))
@@ -202,6 +213,8 @@
         return null
     }
 
+    private fun isExhausted(state: RewardState): Boolean = state.failures >= maximumFailures(state)
+
     /** The routes of the item and of the call each allow a number of failures; the larger number applies. */
     private fun maximumFailures(state: RewardState): Int =
         maxOf(state.work.maximumFailures, routeOf(state)?.maximumAttempts ?: 0)
@@ -238,5 +251,6 @@
 
     private companion object {
         const val MAXIMUM_DOUBLINGS = 6
+        const val FAILED_TOO_OFTEN = "reward call failed too often"
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/reward/RewardTable.kt
@@ -36,7 +36,10 @@
     var service: ServiceName? = null
     var notBefore: Moment? = null
     var attempts = 0
-    var failures = 0
+    var failures = work.failures
+
+    /** Time of the latest failed call while it is being recorded, until which the item does not wait for a call. */
+    var failedAt: Moment? = null
     var consecutiveLosses = 0
 
     override var queueNumber = 0L
@@ -60,7 +63,7 @@
     val calling: Collection<RewardState> get() = calls.values
 
     /** All items whose text is complete. */
-    val withText: Collection<RewardState> get() = ready + calls.values
+    val withText: Collection<RewardState> get() = states.values.filter { it.isReady }
 
     fun item(key: ItemKey): RewardState? = states[key]
 
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/EngineLoadSimulation.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/EngineLoadSimulation.kt
@@ -203,6 +203,7 @@
         when (action) {
             is DispatchAction.Start -> start(action)
             is DispatchAction.Abort -> abort(action.run)
+            is DispatchAction.RecordFailure -> error("no run fails here")
             is DispatchAction.Finish -> finish(byKey.getValue(action.key))
         }
     }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/FairShareOrderTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/FairShareOrderTest.kt
@@ -125,6 +125,7 @@
         dispatcher.registry.relist(listOf(upstream("a", slots = 1)))
         val run = started().single()
         dispatcher.onEnd(run.run, RunEnd.Failed, START)
+        dispatcher.onFailureRecorded(run.key, 1, START)
         expectThat(started(START + 100.milliseconds).names()).containsExactly("next")
     }
 
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
@@ -179,11 +179,35 @@
             var now = start
             repeat(2) {
                 val run = starts(dispatcher.tick(now)).single()
-                expectThat(dispatcher.onEnd(run.run, RunEnd.Failed, now)).isEmpty()
+                expectThat(dispatcher.onEnd(run.run, RunEnd.Failed, now)).containsExactly(recordOf(it + 1))
+                expectThat(dispatcher.onFailureRecorded(run.key, 3, now)).isEmpty()
                 now += 1.seconds
             }
             val run = starts(dispatcher.tick(now)).single()
-            val finish = dispatcher.onEnd(run.run, RunEnd.Failed, now).single() as DispatchAction.Finish
+            expectThat(dispatcher.onEnd(run.run, RunEnd.Failed, now)).containsExactly(recordOf(3))
+            val finish = dispatcher.onFailureRecorded(run.key, 3, now).single() as DispatchAction.Finish
+            expectThat(finish.isCompleted).isFalse()
+        }
+
+        private fun recordOf(failures: Int) = DispatchAction.RecordFailure(item("x").key, failures)
+
+        /** Guards against runs that a later leader does not count, so that an item fails more often than allowed. */
+        @Test
+        fun `does not run again before its failure is recorded`() {
+            dispatcher.registry.relist(listOf(upstream("a"), upstream("b")))
+            dispatcher.submit(listOf(item("x")))
+            val run = starts(dispatcher.tick(start)).single()
+            dispatcher.onEnd(run.run, RunEnd.Failed, start)
+            expectThat(dispatcher.tick(start + 5.seconds)).isEmpty()
+            expectThat(starts(dispatcher.onFailureRecorded(run.key, 3, start + 5.seconds))).hasSize(1)
+        }
+
+        /** Guards against an item that keeps running because the limit of its route was lowered in the meantime. */
+        @Test
+        fun `is an error without another run if its earlier failures are too many`() {
+            dispatcher.registry.relist(listOf(upstream("a")))
+            dispatcher.submit(listOf(item("x").copy(failures = 3)))
+            val finish = dispatcher.tick(start).single() as DispatchAction.Finish
             expectThat(finish.isCompleted).isFalse()
         }
 
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemPlacementPropertyTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemPlacementPropertyTest.kt
@@ -139,11 +139,15 @@
                 when (action) {
                     is DispatchAction.Start -> running[action.run] = action
                     is DispatchAction.Abort -> running -= action.run
+                    is DispatchAction.RecordFailure -> onFailure(action)
                     is DispatchAction.Finish -> open -= action.key.item
                 }
             }
         }
 
+        private fun onFailure(action: DispatchAction.RecordFailure) =
+            execute(dispatcher.onFailureRecorded(action.key, MAXIMUM_FAILURES, now))
+
         /** Answers [run] by the behavior of its upstream. A run answered with silence once stays silent. */
         protected open fun answer(run: DispatchAction.Start) {
             if (run.run in silent) return
@@ -250,6 +254,9 @@
     private companion object {
         const val SEEDS = 400
 
+        /** Number of failed runs after which an item of the fixture is given up. */
+        const val MAXIMUM_FAILURES = 3
+
         /** Slot count of each upstream of the fixture. */
         const val SLOTS = 2
 
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsSimulation.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/SharedUpstreamsSimulation.kt
@@ -105,6 +105,7 @@
             when (action) {
                 is DispatchAction.Start -> start(action)
                 is DispatchAction.Abort -> abort(action)
+                is DispatchAction.RecordFailure -> error("no run fails here")
                 is DispatchAction.Finish -> step(action.key)?.done?.add(action.key.item)
             }
         }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/reward/RewardSchedulerTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/reward/RewardSchedulerTest.kt
@@ -55,10 +55,33 @@
         repeat(3) {
             val call = scheduler.delayOfNextCall(now)!!.second
             now += 100.milliseconds
-            expectThat(scheduler.onEnd(call.call, RewardCallEnd.Failed, now)).isEmpty()
+            expectThat(scheduler.onEnd(call.call, RewardCallEnd.Failed, now))
+                .containsExactly(RewardAction.RecordFailure(call.key, it + 1))
+            expectThat(scheduler.onFailureRecorded(call.key, now)).isEmpty()
         }
         val last = scheduler.delayOfNextCall(now)!!.second
-        val finish = scheduler.onEnd(last.call, RewardCallEnd.Failed, now).single() as RewardAction.Finish
+        scheduler.onEnd(last.call, RewardCallEnd.Failed, now)
+        val finish = scheduler.onFailureRecorded(last.key, now).single() as RewardAction.Finish
+        expectThat(finish.score).isNull()
+    }
+
+    /** Guards against calls that a later leader does not count, so that an item fails more often than allowed. */
+    @Test
+    fun `makes no call before the failure of the latest one is recorded`() {
+        val scheduler = RewardFixture.scheduler()
+        scheduler.addReady(work("a"))
+        val call = calls(scheduler.tick(START)).single()
+        scheduler.onEnd(call.call, RewardCallEnd.Failed, START)
+        expectThat(scheduler.tick(START + 5.seconds)).isEmpty()
+        expectThat(scheduler.onFailureRecorded(call.key, START + 5.seconds)).hasSize(1)
+    }
+
+    /** Guards against more calls than allowed after a change of the leader. */
+    @Test
+    fun `makes no call of an item with too many earlier failures`() {
+        val scheduler = RewardFixture.scheduler()
+        scheduler.addReady(work("a", maximumFailures = 3).copy(failures = 4))
+        val finish = scheduler.tick(START).single() as RewardAction.Finish
         expectThat(finish.score).isNull()
     }
 
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
@@ -57,6 +57,17 @@
         public val parts: List<TextPart>,
     ) : ServiceCommand
 
+    /**
+     * Records the failed runs of items, so that the limits of failed runs hold beyond the current leader. The numbers
+     * are totals; those below the recorded ones have no effect.
+     */
+    @Serializable
+    @SerialName("failures")
+    public class RecordFailures(
+        public val job: JobIdentifier,
+        public val failures: List<ItemFailures>,
+    ) : ServiceCommand
+
     /** Ends a job; its results stay readable until the job expires. */
     @Serializable
     @SerialName("end")
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -42,6 +42,8 @@
 
     private val textsByItem = ConcurrentHashMap<RequestIdentifier, RecordedText>()
 
+    private val failuresByItem = ConcurrentHashMap<RequestIdentifier, ItemFailures>()
+
     /** Whether the trainer has ended the job. */
     @Volatile
     public var isEnded: Boolean = false
@@ -71,6 +73,18 @@
     /** Returns the recorded text of the item with [identifier], or null if there is none or the item has a result. */
     public fun text(identifier: RequestIdentifier): RecordedText? = textsByItem[identifier]
 
+    /** Returns the recorded failures of the item with [identifier]. */
+    public fun failures(identifier: RequestIdentifier): ItemFailures =
+        failuresByItem[identifier] ?: ItemFailures(identifier)
+
+    /** Records [failures], unless the job does not contain their item. */
+    internal fun addFailures(failures: ItemFailures) {
+        if (failures.item in itemsByIdentifier) failuresByItem.merge(failures.item, failures, ItemFailures::max)
+    }
+
+    /** Returns the failures of all items that have any. */
+    internal fun allFailures(): List<ItemFailures> = failuresByItem.values.toList()
+
     /**
      * Appends [part] to the text of its item, or replaces the text if [part] is the first part of another one.
      *
@@ -116,6 +130,7 @@
  *
  * @property commands commands that recorded its results.
  * @property textParts recorded texts of items without a result.
+ * @property failures failed runs of items; missing in snapshots of versions that did not record them.
  */
 @Serializable
 internal class JobSnapshot(
@@ -124,6 +139,7 @@
     val isEnded: Boolean,
     val commands: List<ListingCommand>,
     val textParts: List<TextPart> = emptyList(),
+    val failures: List<ItemFailures> = emptyList(),
 ) {
     fun restore(): JobRecord {
         val record = JobRecord(job, submittedMilliseconds)
@@ -132,6 +148,7 @@
             record.addResults((command as ServiceCommand.RecordResults).results, listing.command)
         }
         textParts.forEach(record::addTextPart)
+        failures.forEach(record::addFailures)
         if (isEnded) record.end()
         return record
     }
@@ -143,6 +160,7 @@
             record.isEnded,
             record.commands().map(::ListingCommand),
             record.textParts(),
+            record.allFailures(),
         )
     }
 }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -67,23 +67,37 @@
         return StateCodec.encode(execute(index, timeMilliseconds, command))
     }
 
-    private fun execute(index: Long, timeMilliseconds: Long, bytes: ByteArray): ServiceAnswer {
-        val command = StateCodec.decode<ServiceCommand>(bytes)
-        when (command) {
-            is ServiceCommand.AcceptConfiguration -> accept(StoredConfiguration(command.revision, command.document))
-            is ServiceCommand.NameVersion -> setVersion(command)
-            is ServiceCommand.SubmitJob -> return submit(command.job, timeMilliseconds)
-            is ServiceCommand.RecordResults -> return record(command, bytes)
-            is ServiceCommand.RecordTexts -> return recordTexts(command)
-            is ServiceCommand.EndJob -> return end(command.job)
-            is ServiceCommand.RetireInstance -> retiringNodes[command.node] = Retirement(command.node, command.instance)
-            is ServiceCommand.DrawFence -> return ServiceAnswer.Fence(FencingToken(index))
-            is ServiceCommand.CloseUsageWindow -> usage.close(command)
-            is ServiceCommand.UsageReported -> usage.forget(command.window)
+    private fun execute(index: Long, timeMilliseconds: Long, bytes: ByteArray): ServiceAnswer =
+        when (val command = StateCodec.decode<ServiceCommand>(bytes)) {
+            is ServiceCommand.AcceptConfiguration -> done {
+                accept(StoredConfiguration(command.revision, command.document))
+            }
+            is ServiceCommand.NameVersion -> done { setVersion(command) }
+            is ServiceCommand.SubmitJob -> submit(command.job, timeMilliseconds)
+            is ServiceCommand.RecordResults -> record(command, bytes)
+            is ServiceCommand.RecordTexts -> onJob(command.job) { command.parts.forEach(it::addTextPart) }
+            is ServiceCommand.RecordFailures -> onJob(command.job) { command.failures.forEach(it::addFailures) }
+            is ServiceCommand.EndJob -> end(command.job)
+            is ServiceCommand.RetireInstance -> done { retire(command) }
+            is ServiceCommand.DrawFence -> ServiceAnswer.Fence(FencingToken(index))
+            is ServiceCommand.CloseUsageWindow -> done { usage.close(command) }
+            is ServiceCommand.UsageReported -> done { usage.forget(command.window) }
         }
+
+    private inline fun done(change: () -> Unit): ServiceAnswer {
+        change()
+        return ServiceAnswer.Done
+    }
+
+    private inline fun onJob(identifier: JobIdentifier, change: (JobRecord) -> Unit): ServiceAnswer {
+        change(jobsByIdentifier[identifier] ?: return ServiceAnswer.UnknownJob)
         return ServiceAnswer.Done
     }
 
+    private fun retire(command: ServiceCommand.RetireInstance) {
+        retiringNodes[command.node] = Retirement(command.node, command.instance)
+    }
+
     private fun accept(offered: StoredConfiguration) {
         if (offered.revision <= (configuration?.revision ?: Revision.NONE)) return
         configuration = offered
@@ -110,24 +124,14 @@
         return ServiceAnswer.Done
     }
 
-    private fun record(command: ServiceCommand.RecordResults, bytes: ByteArray): ServiceAnswer {
-        val record = jobsByIdentifier[command.job] ?: return ServiceAnswer.UnknownJob
-        record.addResults(command.results, bytes)
-        listener.onResults(record)
-        return ServiceAnswer.Done
-    }
-
-    private fun recordTexts(command: ServiceCommand.RecordTexts): ServiceAnswer {
-        val record = jobsByIdentifier[command.job] ?: return ServiceAnswer.UnknownJob
-        command.parts.forEach(record::addTextPart)
-        return ServiceAnswer.Done
+    private fun record(command: ServiceCommand.RecordResults, bytes: ByteArray): ServiceAnswer = onJob(command.job) {
+        it.addResults(command.results, bytes)
+        listener.onResults(it)
     }
 
-    private fun end(identifier: JobIdentifier): ServiceAnswer {
-        val record = jobsByIdentifier[identifier] ?: return ServiceAnswer.UnknownJob
-        record.end()
-        listener.onJob(record)
-        return ServiceAnswer.Done
+    private fun end(identifier: JobIdentifier): ServiceAnswer = onJob(identifier) {
+        it.end()
+        listener.onJob(it)
     }
 
     private fun expire(timeMilliseconds: Long) {
--- a/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
+++ b/state/src/test/kotlin/org/zinniahoist/state/service/ServiceStateMachineTest.kt
@@ -135,6 +135,26 @@
         expectThat(restored.retirements.keys.toList()).containsExactly("store-1")
     }
 
+    /** Guards against failed runs that are forgotten by a restart, or counted twice by a command that is repeated. */
+    @Test
+    fun `keeps the largest numbers of failed runs over a snapshot`() {
+        submit("j")
+        val item = RequestIdentifier("a")
+        listOf(
+            ItemFailures(item, runs = 2),
+            ItemFailures(item, rewardCalls = 1),
+            ItemFailures(item, runs = 1),
+        ).forEach {
+            apply(ServiceCommand.RecordFailures(JobIdentifier("j"), listOf(it)))
+        }
+        val unknown = ItemFailures(RequestIdentifier("other"), runs = 1)
+        apply(ServiceCommand.RecordFailures(JobIdentifier("j"), listOf(unknown)))
+        val restored = ServiceStateMachine(NoOpListener).also { it.restore(machine.snapshot()) }
+        val record = restored.job(JobIdentifier("j"))!!
+        expectThat(record.failures(item)).isEqualTo(ItemFailures(item, runs = 2, rewardCalls = 1))
+        expectThat(record.failures(unknown.item).runs).isEqualTo(0)
+    }
+
     /** Guards against a replica that replays its log on top of its previous state. */
     @Test
     fun `is empty after it was restored from an empty snapshot`() {
