Record crashes of upstreams in the replicated state

Cause: the evidence lived in the memory of the processes, which teach each other on connecting; nothing had it after all were down.

A leader makes them known before it begins, and to a starting process before it gives it the configuration (CrashReportRelay.restore). The time of a restored crash is inexact, so CrashTable merges it with any other crash of its upstream.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CoreProcess.kt
@@ -57,7 +57,7 @@
     private val thread = EngineThread(onFailure = onFailure)
     private val machine = ServiceStateMachine(this)
     private val usage = UsageReceiver(machine.usage, clock)
-    private val jobs = JobCallHandler(dialect, machine, usage) { host }
+    private val jobs = JobCallHandler(dialect, machine, usage, ::restoreCrashes) { host }
     private val hello = LinkMessage.Hello(
         protocolVersion = LinkLimits.PROTOCOL_VERSION,
         instance = ReplicaGroup.instanceOf(settings),
@@ -72,10 +72,23 @@
         CrashMonitor(ConnectionProbe, leaving::isLeaving, scope, clock, metrics) { crashReports.publish(it) }
     private val crashReports = CrashReportRelay(crashes, clock)
     private val links = CoreLinks(settings.machine, hello, jobs, scope, crashReports, clock)
-    private val duties =
-        LeaderTasks(settings, dialect, machine, jobs, links, scope, thread, clock, metrics, crashes, leaving, usage) {
-            host
-        }
+    private val duties = LeaderTasks(
+        settings,
+        dialect,
+        machine,
+        jobs,
+        links,
+        scope,
+        thread,
+        clock,
+        metrics,
+        crashes,
+        leaving,
+        ::restoreCrashes,
+        usage,
+    ) {
+        host
+    }
     private val linkServer = LinkServer(
         Endpoint(settings.address, settings.linkPort),
         hello,
@@ -150,6 +163,9 @@
         logger.info { "event=stopped role=core machine=${settings.machine}" }
     }
 
+    /** Makes the recorded crashes known to all processes; those that start learn of them before they serve. */
+    private fun restoreCrashes(): Unit = crashReports.restore(machine.crashes.all, System.currentTimeMillis())
+
     private fun tick() {
         val status = host.status
         members.tick(status, retiring(), clock())
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CrashReportRelay.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/CrashReportRelay.kt
@@ -6,8 +6,12 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.Role
 import org.zinniahoist.policy.poison.CrashEvidence
+import org.zinniahoist.policy.poison.Fingerprint
+import org.zinniahoist.policy.poison.ObservedCrash
+import org.zinniahoist.state.service.RecordedCrash
 import org.zinniahoist.wire.LinkConnection
 import org.zinniahoist.wire.ServiceMessage
+import kotlin.time.Duration.Companion.milliseconds
 
 /**
  * Passes reports of upstream crashes between processes, and sends all that is known to those that connect later.
@@ -44,6 +48,21 @@
         if (Role.ENTRY in link.peer.roles) send(added, except = link)
     }
 
+    /**
+     * Takes over the crashes that the replicated state [records], and sends on those that this process did not know.
+     * [wallMilliseconds] is the present time on the clock of the log.
+     */
+    fun restore(records: List<RecordedCrash>, wallMilliseconds: Long) {
+        if (records.isEmpty()) return
+        val now = clock()
+        val restored = records.map {
+            // The clock of the leader that recorded the crash may be ahead of the one of this machine.
+            val age = (wallMilliseconds - it.timeMilliseconds).coerceAtLeast(0)
+            ObservedCrash(Fingerprint(it.fingerprint), it.upstream, now - age.milliseconds, isRestored = true)
+        }
+        publish(monitor.onEvidence(CrashEvidence(restored)))
+    }
+
     /** Sends [evidence] of this process to all others. */
     fun publish(evidence: CrashEvidence): Unit = send(evidence, except = null)
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/JobCallHandler.kt
@@ -29,11 +29,16 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlin.time.Duration.Companion.milliseconds
 
-/** Serves calls of other processes from the replicated state, and proposes the commands that they request. */
+/**
+ * Serves calls of other processes from the replicated state, and proposes the commands that they request.
+ *
+ * @param restoreCrashes called before a starting process gets the configuration with which it begins to serve.
+ */
 internal class JobCallHandler(
     private val dialect: PlatformDialect,
     private val machine: ServiceStateMachine,
     private val usage: UsageReceiver = UsageReceiver(machine.usage),
+    private val restoreCrashes: () -> Unit = {},
     private val host: () -> GroupHost,
 ) {
     private val pages = ResultPages(dialect)
@@ -53,7 +58,7 @@
 
     private suspend fun execute(call: ServiceCall, recipient: ReplyRecipient): ServiceReply = when (call) {
         is ServiceCall.AppliedConfiguration -> applied(call)
-        is ServiceCall.NewestConfiguration -> replyAfterRead(::document)
+        is ServiceCall.NewestConfiguration -> replyAfterRead(::newestDocument)
         is ServiceCall.SubmitJob -> submit(call)
         is ServiceCall.ReadJob -> readJob(call, recipient)
         is ServiceCall.ReadItem -> replyAfterRead { readItem(call) }
@@ -64,6 +69,11 @@
     private fun applied(call: ServiceCall.AppliedConfiguration): ServiceReply =
         document()?.takeIf { it.revision > call.known } ?: ServiceReply.Done
 
+    private fun newestDocument(): ServiceReply.Document? {
+        restoreCrashes()
+        return document()
+    }
+
     private fun document(): ServiceReply.Document? =
         machine.configuration?.let { ServiceReply.Document(it.revision, it.document) }
 
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/LeaderTasks.kt
@@ -10,7 +10,7 @@
 import org.zinniahoist.gateway.dialect.DutyDialect
 import org.zinniahoist.gateway.dialect.PlatformDialect
 import org.zinniahoist.gateway.metrics.GatewayMetrics
-import org.zinniahoist.gateway.upstream.CrashGuard
+import org.zinniahoist.gateway.upstream.CrashMonitor
 import org.zinniahoist.gateway.upstream.ListReader
 import org.zinniahoist.gateway.upstream.UpstreamCalls
 import org.zinniahoist.model.FencingToken
@@ -39,7 +39,11 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 
-/** Runs the leader's background work: batch jobs, weight orders and reads of the platform's upstream list. */
+/**
+ * Runs the leader's background work: batch jobs, weight orders and reads of the platform's upstream list.
+ *
+ * @param restoreCrashes called before the leader begins, once all earlier commands are applied.
+ */
 internal class LeaderTasks(
     private val settings: GatewaySettings,
     dialect: PlatformDialect,
@@ -50,8 +54,9 @@
     private val thread: EngineThread,
     private val clock: () -> Moment,
     private val metrics: GatewayMetrics,
-    crashes: CrashGuard,
+    crashes: CrashMonitor,
     private val leaving: LeavingUpstreams,
+    private val restoreCrashes: () -> Unit = {},
     usage: UsageReceiver = UsageReceiver(machine.usage),
     private val host: () -> GroupHost,
 ) {
@@ -72,6 +77,8 @@
         RewardCalls(dialect.headers, calls, machine, scope, crashes),
         options = dispatchOptions(settings),
     )
+    private val crashRecorder =
+        CrashRecorder(crashes, machine.crashes, clock) { command, onReply -> propose(command) { onReply() } }
     private val loader = WeightLoader(engine.registry)
     private val models = ModelLog(metrics)
     private var pendingRoutes: (() -> RouteTable?)? = null
@@ -94,6 +101,7 @@
         duties?.tick(leadership.isActive, clock())
         if (!leadership.isActive) return
         engine.tick()
+        crashRecorder.tick()
         orders.tick(engine.needsSingleVersion(), engine::demand)
         models.tick(clock(), loader::modelUpstreams, engine::workOf, engine::lateJobs)
     }
@@ -160,6 +168,8 @@
         duties?.activate(authority, action.term)
         machine.versions.forEach { (model, version) -> loader.onPublished(model, version) }
         readRoutes()
+        // The reward calls of this leader must not crash upstreams again.
+        restoreCrashes()
         // Upstreams of a list that was read in an earlier term may be gone.
         if (leaving.listAge(clock())?.let { it > MAXIMUM_LIST_AGE } == true) engine.updateUpstreams(emptyList())
         engine.activate()
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CrashReports.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/link/CrashReports.kt
@@ -12,12 +12,17 @@
 
 /** Returns the message that reports this evidence at [now]. Clocks of processes differ, so it contains ages. */
 internal fun CrashEvidence.toReport(now: Moment): ServiceMessage.Crashes = ServiceMessage.Crashes(
-    crashes.map { ReportedCrash(it.fingerprint.value, it.upstream, (now - it.at).inWholeMilliseconds) },
+    crashes.map {
+        ReportedCrash(it.fingerprint.value, it.upstream, (now - it.at).inWholeMilliseconds, it.isRestored)
+    },
     completions.map { ReportedCompletion(it.fingerprint.value, (now - it.at).inWholeMilliseconds) },
 )
 
 /** Returns the evidence in this message, which was received at [now]. */
 internal fun ServiceMessage.Crashes.toEvidence(now: Moment): CrashEvidence = CrashEvidence(
-    crashes.map { ObservedCrash(Fingerprint(it.fingerprint), it.upstream, now - it.ageMilliseconds.milliseconds) },
+    crashes.map {
+        val at = now - it.ageMilliseconds.milliseconds
+        ObservedCrash(Fingerprint(it.fingerprint), it.upstream, at, it.isRestored)
+    },
     completions.map { ObservedCompletion(Fingerprint(it.fingerprint), now - it.ageMilliseconds.milliseconds) },
 )
--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/CrashMonitor.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/upstream/CrashMonitor.kt
@@ -47,6 +47,13 @@
     /** All evidence that this process has. */
     val evidence: CrashEvidence @Synchronized get() = table.evidence(clock())
 
+    /** Crashes that count against a request, by request. */
+    val suspects: Map<Fingerprint, List<ObservedCrash>> @Synchronized get() = table.suspects(clock())
+
+    /** Returns true if a completed run has cleared the request [fingerprint] of all its crashes. */
+    @Synchronized
+    fun isCleared(fingerprint: Fingerprint): Boolean = table.isCleared(fingerprint, clock())
+
     override fun refusalReason(request: RequestContent): String? =
         if (hasSuspects) reasonFor(request.fingerprint) else null
 
--- a/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
+++ b/gateway/src/test/kotlin/org/zinniahoist/gateway/core/CoreStartTest.kt
@@ -22,8 +22,6 @@
 import org.zinniahoist.model.Role
 import org.zinniahoist.policy.routes.ConfigurationFault
 import org.zinniahoist.policy.routes.ServiceConfiguration
-import org.zinniahoist.settings.GatewayRole
-import org.zinniahoist.settings.GatewaySettings
 import org.zinniahoist.wire.HeartbeatContent
 import org.zinniahoist.wire.LinkCloseCause
 import org.zinniahoist.wire.LinkConnection
@@ -38,8 +36,6 @@
 import strikt.assertions.isNotNull
 import strikt.assertions.isTrue
 import strikt.assertions.startsWith
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.net.Socket
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
@@ -54,10 +50,11 @@
     @TempDir
     lateinit var folder: Path
 
-    private val operators = Endpoint(HOST, freePort())
+    private val operators = Endpoint(SingleCore.HOST, SingleCore.freePort())
     private val decoded = AtomicInteger()
 
-    private fun core(linkPort: Int) = CoreProcess(settings(linkPort), Dialect(), ::now, ::error)
+    private fun core(linkPort: Int) =
+        CoreProcess(SingleCore.settings(folder, operators, linkPort), Dialect(), ::now, ::error)
 
     private fun await(call: (BlockingWebClient) -> AggregatedHttpResponse) {
         val client = WebClient.of("h1c://$operators").blocking()
@@ -71,7 +68,7 @@
     /** Guards against a slow start because every configuration in the log is decoded instead of only the latest. */
     @Test
     fun `a starting core decodes only the configuration in force`() {
-        val linkPort = freePort()
+        val linkPort = SingleCore.freePort()
         val first = core(linkPort)
         first.start()
         repeat(CONFIGURATIONS) { number -> await { it.post(CONFIGURE, "${number + 1}") } }
@@ -90,7 +87,7 @@
     /** Guards against a planned stop that cuts off calls of operators that have just arrived. */
     @Test
     fun `a core that stops answers the calls that it has received`() {
-        val core = core(freePort())
+        val core = core(SingleCore.freePort())
         core.start()
         await { it.post(CONFIGURE, "1") }
         Socket(operators.host, operators.port).use { socket ->
@@ -108,13 +105,15 @@
     /** Guards against a core that finds its group never again, because all cores in its settings have been replaced. */
     @Test
     fun `a core dials a seed that only its changed settings name`() {
-        val linkPort = freePort()
+        val linkPort = SingleCore.freePort()
         val opened = CountDownLatch(1)
         val seed = LinkServer(Endpoint(SEED_HOST, linkPort), hello(linkPort), Seed(opened), ::HeartbeatContent, ::now)
         runBlocking { seed.start() }
         val core = core(linkPort)
         core.start()
-        core.reload(settings(linkPort).copy(seeds = listOf(operators.copy(host = SEED_HOST))))
+        core.reload(
+            SingleCore.settings(folder, operators, linkPort).copy(seeds = listOf(operators.copy(host = SEED_HOST))),
+        )
         expectThat(opened.await(BOUND.inWholeMilliseconds, MILLISECONDS)).isTrue()
         core.stop()
         seed.close()
@@ -157,27 +156,7 @@
         }
     }
 
-    private fun settings(linkPort: Int) = GatewaySettings(
-        machine = "core-1",
-        role = GatewayRole.CORE,
-        failureDomain = "a",
-        region = "r",
-        address = HOST,
-        linkPort = linkPort,
-        dataFolder = folder.toString(),
-        clients = null,
-        readiness = null,
-        operators = operators,
-        seeds = listOf(operators),
-        firstStart = true,
-        toleratedLosses = 0,
-        listEndpoint = Endpoint(HOST, freePort()),
-        grace = 2.seconds,
-        orderLease = 1.seconds,
-    )
-
     private companion object {
-        const val HOST = "127.0.0.1"
         const val SEED_HOST = "127.0.0.2"
         const val CONFIGURE = "/configure"
         const val READ = "/read"
@@ -189,7 +168,5 @@
 
         /** Longer than a core waits before it closes its address for operators. */
         val UPLOAD_TIME = 400.milliseconds
-
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
--- a/policy/src/main/kotlin/org/zinniahoist/policy/poison/CrashEvidence.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/poison/CrashEvidence.kt
@@ -3,11 +3,16 @@
 import org.zinniahoist.model.Moment
 import org.zinniahoist.model.UpstreamIdentity
 
-/** [upstream] crashed at [at] while it ran a request, before it sent any part of the response. */
+/**
+ * [upstream] crashed at [at] while it ran a request, before it sent any part of the response.
+ *
+ * @property isRestored true if it was read from the replicated state, so that [at] depends on clocks that differ.
+ */
 public data class ObservedCrash(
     public val fingerprint: Fingerprint,
     public val upstream: UpstreamIdentity,
     public val at: Moment,
+    public val isRestored: Boolean = false,
 )
 
 /** An upstream ran a request and responded at [at]. */
--- a/policy/src/main/kotlin/org/zinniahoist/policy/poison/CrashTable.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/poison/CrashTable.kt
@@ -31,6 +31,14 @@
     public fun crashes(fingerprint: Fingerprint, now: Moment): List<UpstreamIdentity> =
         records[fingerprint]?.counted(now).orEmpty().map { it.upstream }
 
+    /** Returns the crashes that count against each request at [now]. */
+    public fun suspects(now: Moment): Map<Fingerprint, List<ObservedCrash>> =
+        records.mapValues { (_, record) -> record.counted(now) }.filterValues { it.isNotEmpty() }
+
+    /** Returns true if a completed run has cleared the request of all its crashes at [now]. */
+    public fun isCleared(fingerprint: Fingerprint, now: Moment): Boolean =
+        records[fingerprint]?.let { it.completion != null && it.counted(now).isEmpty() } == true
+
     /** Returns the number of blocked requests at [now]. */
     public fun blocked(now: Moment): Int = records.keys.count { isBlocked(it, now) }
 
@@ -68,15 +76,23 @@
 
     private fun addCrash(crash: ObservedCrash): Boolean {
         val record = records.getOrPut(crash.fingerprint, ::Record)
-        if (record.crashes.any { it.isSameAs(crash) }) return false
+        val same = record.crashes.filter { it.isSameAs(crash) }
+        if (same.any { !crash.replaces(it) }) return false
+        record.crashes -= same.toSet()
         record.crashes += crash
         record.crashes.sortBy { it.at }
         if (record.crashes.size > RETAINED_CRASHES) record.crashes.removeFirst()
         return crash in record.crashes
     }
 
-    private fun ObservedCrash.isSameAs(other: ObservedCrash): Boolean =
-        upstream == other.upstream && (at - other.at).absoluteValue < MINIMUM_RESTART
+    /** The time of a restored crash is inexact, so it is the same as any other crash of its upstream. */
+    private fun ObservedCrash.isSameAs(other: ObservedCrash): Boolean {
+        val isExact = !isRestored && !other.isRestored
+        return upstream == other.upstream && (!isExact || (at - other.at).absoluteValue < MINIMUM_RESTART)
+    }
+
+    private fun ObservedCrash.replaces(other: ObservedCrash): Boolean =
+        other.isRestored && (!isRestored || at > other.at)
 
     private fun evict(now: Moment) {
         records.values.removeIf { record ->
--- a/policy/src/test/kotlin/org/zinniahoist/policy/poison/CrashTableTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/poison/CrashTableTest.kt
@@ -54,6 +54,19 @@
         expectThat(table.crashes(request, at(1.seconds))).containsExactlyInAnyOrder(UpstreamIdentity("a"))
     }
 
+    /** Guards against counting a crash twice because it is also read from the replicated state. */
+    @Test
+    fun `a crash counts once with its restored copy, whatever the clocks say`() {
+        val restored = ObservedCrash(request, UpstreamIdentity("a"), at(60.seconds), isRestored = true)
+        crash("a", at(1.seconds))
+        expectThat(table.add(CrashEvidence(listOf(restored)), at(60.seconds)).isEmpty).isTrue()
+        expectThat(table.crashes(request, at(60.seconds))).containsExactlyInAnyOrder(UpstreamIdentity("a"))
+        val other = CrashTable().also { it.add(CrashEvidence(listOf(restored)), at(60.seconds)) }
+        crash("a", at(1.seconds), table = other)
+        expectThat(other.crashes(request, at(60.seconds))).containsExactlyInAnyOrder(UpstreamIdentity("a"))
+        expectThat(other.evidence(at(60.seconds)).crashes.single().isRestored).isFalse()
+    }
+
     /** Guards against refusing a request that many clients send, while upstreams are killed one after the other. */
     @Test
     fun `a request in flight at each crash is not blocked while runs complete`() {
@@ -132,4 +145,21 @@
         }
         expectThat(decisions.distinct().size).isEqualTo(1)
     }
+
+    /** Guards against processes that disagree on a request because some of them read crashes from the state first. */
+    @Property(tries = 300, seed = "42")
+    fun `restored crashes merge in any order to the same decision`(@ForAll seed: Long) {
+        val random = Random(seed)
+        val crashes = List(random.nextInt(1, 6)) {
+            val upstream = UpstreamIdentity("u${random.nextInt(3)}")
+            ObservedCrash(request, upstream, at(4.seconds * random.nextInt(5)), isRestored = random.nextBoolean())
+        }
+        val now = at(30.seconds)
+        val orders = listOf(crashes, crashes.shuffled(random), crashes.reversed())
+        val decisions = orders.map { order ->
+            CrashTable().also { table -> order.forEach { table.add(CrashEvidence(listOf(it)), now) } }
+                .isBlocked(request, now)
+        }
+        expectThat(decisions.distinct().size).isEqualTo(1)
+    }
 }
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceCommand.kt
@@ -10,6 +10,7 @@
 import org.zinniahoist.model.InstanceName
 import org.zinniahoist.model.ModelName
 import org.zinniahoist.model.Revision
+import org.zinniahoist.model.UpstreamIdentity
 import org.zinniahoist.model.WeightVersion
 import org.zinniahoist.model.WorkspaceName
 
@@ -68,6 +69,18 @@
         public val failures: List<ItemFailures>,
     ) : ServiceCommand
 
+    /**
+     * Removes the crashes of the requests in [completed], of which a run has completed since, and records [crashes]. A
+     * crash is ignored if one of the same upstream is recorded for its request.
+     */
+    @Serializable
+    @SerialName("crashes")
+    public data class RecordCrashes(
+        public val crashes: List<CrashReport>,
+        /** Fingerprints of requests. */
+        public val completed: List<Long>,
+    ) : ServiceCommand
+
     /** Ends a job; its results stay readable until the job expires. */
     @Serializable
     @SerialName("end")
@@ -101,6 +114,14 @@
     public data class UsageReported(public val window: Long) : ServiceCommand
 }
 
+/** A crash of [upstream] while it ran the request [fingerprint], [ageMilliseconds] before the command was proposed. */
+@Serializable
+public data class CrashReport(
+    public val fingerprint: Long,
+    public val upstream: UpstreamIdentity,
+    public val ageMilliseconds: Long,
+)
+
 /** Answer to a [ServiceCommand]. */
 @Serializable
 public sealed interface ServiceAnswer {
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceState.kt
@@ -177,4 +177,5 @@
     val jobs: List<JobSnapshot>,
     val retirements: List<Retirement>,
     val usage: UsageSnapshot = UsageSnapshot(),
+    val crashes: List<RecordedCrash> = emptyList(),
 )
--- a/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
+++ b/state/src/main/kotlin/org/zinniahoist/state/service/ServiceStateMachine.kt
@@ -28,7 +28,7 @@
 
 /**
  * Replicated state machine of the configuration, the newest weight versions, batch jobs with their results, fencing
- * tokens, and usage windows.
+ * tokens, usage windows, and crashes of upstreams.
  *
  * @param retention time for which a job and its results are retained after the submission.
  * @param endedRetention time after the submission for which a job that its trainer has ended is retained.
@@ -59,6 +59,9 @@
     /** Closed windows of the usage reports. */
     public val usage: UsageLedger = UsageLedger()
 
+    /** Crashes of upstreams at runs of requests. */
+    public val crashes: CrashRecords = CrashRecords(CRASH_RETENTION)
+
     /** Returns the job with [identifier], or null. */
     public fun job(identifier: JobIdentifier): JobRecord? = jobsByIdentifier[identifier]
 
@@ -77,6 +80,7 @@
             is ServiceCommand.RecordResults -> record(command, bytes)
             is ServiceCommand.RecordTexts -> onJob(command.job) { command.parts.forEach(it::addTextPart) }
             is ServiceCommand.RecordFailures -> onJob(command.job) { command.failures.forEach(it::addFailures) }
+            is ServiceCommand.RecordCrashes -> done { crashes.record(command, timeMilliseconds) }
             is ServiceCommand.EndJob -> end(command.job)
             is ServiceCommand.RetireInstance -> done { retire(command) }
             is ServiceCommand.DrawFence -> ServiceAnswer.Fence(FencingToken(index))
@@ -135,6 +139,7 @@
     }
 
     private fun expire(timeMilliseconds: Long) {
+        crashes.expire(timeMilliseconds)
         val oldest = timeMilliseconds - retention.inWholeMilliseconds
         val oldestEnded = timeMilliseconds - endedRetention.inWholeMilliseconds
         jobsByIdentifier.values.removeIf { it.submittedMilliseconds < if (it.isEnded) oldestEnded else oldest }
@@ -150,6 +155,7 @@
             jobs.map(JobSnapshot::of),
             retiringNodes.values.toList(),
             usage.snapshot(),
+            crashes.all,
         ),
     )
 
@@ -164,6 +170,7 @@
         retiringNodes.keys.retainAll(state.retirements.map { it.node }.toSet())
         state.retirements.forEach { retiringNodes[it.node] = it }
         usage.restore(state.usage)
+        crashes.restore(state.crashes)
         configuration = state.configuration
         state.configuration?.let(listener::onConfiguration)
         state.versions.forEach { (model, version) -> listener.onVersion(model, version) }
@@ -171,6 +178,9 @@
     }
 
     public companion object {
+        /** Time for which processes count a crash against a request. */
+        private val CRASH_RETENTION: Duration = 10.minutes
+
         /** Exceeds the longest time for which a job stays open. */
         public val DEFAULT_RETENTION: Duration = 10.minutes
 
--- a/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
+++ b/wire/src/main/kotlin/org/zinniahoist/wire/ServiceMessage.kt
@@ -82,6 +82,8 @@
     public val fingerprint: Long,
     public val upstream: UpstreamIdentity,
     public val ageMilliseconds: Long,
+    /** True if the crash was read from the replicated state, so that its age is inexact. */
+    public val isRestored: Boolean = false,
 )
 
 /** A completed run of the request [fingerprint], [ageMilliseconds] before the report was sent. */
