Send a failed item again while no configuration can be read

The record of a failed run holds an item until the limit of its route is known. While the stored configuration can't be read there is no route, and the item would have waited until it expires. It now has the limit of its submission. Found by reading the change before; ItemDispatcherTest has the case, which the former signature could not express.

--- a/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
+++ b/gateway/src/main/kotlin/org/zinniahoist/gateway/core/BatchEngine.kt
@@ -282,7 +282,7 @@
         logger.info {
             "event=failure-recorded item=${key.item} job=${key.job} failures=\"${record.failures(key.item)}\""
         }
-        jobRoutes.maximumFailures(record)?.let { execute(dispatcher.onFailureRecorded(key, it, clock())) }
+        execute(dispatcher.onFailureRecorded(key, jobRoutes.maximumFailures(record), clock()))
         rewards.onFailureRecorded(key)
     }
 
--- a/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
+++ b/policy/src/main/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcher.kt
@@ -183,13 +183,14 @@
 
     /**
      * Queues the item with [key] again once its latest failed run is recorded, or finishes it if it has had
-     * [maximumFailures] of them.
+     * [maximumFailures] of them. Without a limit in force, the one of its submission applies.
      */
-    public fun onFailureRecorded(key: ItemKey, maximumFailures: Int, now: Moment): List<DispatchAction> {
+    public fun onFailureRecorded(key: ItemKey, maximumFailures: Int?, now: Moment): List<DispatchAction> {
         val state = table.item(key) ?: return emptyList()
         val failedAt = state.failedAt ?: return emptyList()
         state.failedAt = null
-        if (state.failures >= maximumFailures) return finish(state, isCompleted = false, FAILED_TOO_OFTEN)
+        val limit = maximumFailures ?: state.work.maximumFailures
+        if (state.failures >= limit) return finish(state, isCompleted = false, FAILED_TOO_OFTEN)
         retries.later(state, failedAt)
         return place(now)
     }
--- a/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
+++ b/policy/src/test/kotlin/org/zinniahoist/policy/dispatch/ItemDispatcherTest.kt
@@ -202,6 +202,16 @@
             expectThat(starts(dispatcher.onFailureRecorded(run.key, 3, start + 5.seconds))).hasSize(1)
         }
 
+        /** Guards against an item that is never sent again because no configuration can be read at the moment. */
+        @Test
+        fun `runs again after a failure while no route is in force`() {
+            dispatcher.registry.relist(listOf(upstream("a"), upstream("b")))
+            dispatcher.submit(listOf(item("x")))
+            val run = starts(dispatcher.tick(start)).single()
+            dispatcher.onEnd(run.run, RunEnd.Failed, start)
+            expectThat(starts(dispatcher.onFailureRecorded(run.key, null, start + 1.seconds))).hasSize(1)
+        }
+
         /** Guards against an item that keeps running because the limit of its route was lowered in the meantime. */
         @Test
         fun `is an error without another run if its earlier failures are too many`() {
