--- a/review/standin-3/LostHome.java
+++ b/review/standin-3/LostHome.java
@@ -3,7 +3,7 @@
 import java.util.*;
 import java.util.concurrent.*;
 
-/** Case 12: two trainers on six samplers; with TROUBLE, the sampler that holds the lighter trainer's weights is lost. */
+/** Case 11: two trainers on six samplers; with TROUBLE, the sampler that holds the lighter trainer's weights is lost. */
 public class LostHome extends Rig {
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     static final int SLOTS = 16, EVENTS = 14, LONG_EVENTS = 100, LONG_PAUSE_MS = 118, PAUSE_MS = 20;
